--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -9,6 +9,7 @@
 	"os"
 
 	"passfold"
+	"passfold/internal/settings"
 	"passfold/internal/wire"
 )
 
@@ -98,16 +99,16 @@
 	}
 	switch e.Kind {
 	case wire.Start:
-		cfg, err := wire.ParseSettings(e.Settings)
+		set, err := settings.Parse(e.Settings)
 		if err != nil {
 			return fmt.Errorf("instance %d: %w", e.Instance, err)
 		}
-		b, err := passfold.New(cfg, e.Seed, batch.Now, &h.reply)
+		b, err := passfold.New(set.Config, e.Seed, batch.Now, &h.reply)
 		if err != nil {
 			return fmt.Errorf("instance %d: %w", e.Instance, err)
 		}
 		h.instances[e.Instance] = b
-		h.waiting[e.Instance] = wire.WaitingColumn(e.Settings)
+		h.waiting[e.Instance] = set.Gateway.Waiting
 	case wire.Stop:
 		delete(h.instances, e.Instance)
 	case wire.NewRequest:
--- a/cmd/adapter/main_test.go
+++ b/cmd/adapter/main_test.go
@@ -8,7 +8,7 @@
 	"testing"
 )
 
-const settings = `balancers=2
+const siteSettings = `balancers=2
 classes.count=1
 classes.0.aim_ms=500
 classes.0.give_up_ms=1000
@@ -63,7 +63,7 @@
 
 func TestInstancesAreSeparate(t *testing.T) {
 	in := bytes.Join([][]byte{
-		batch(10, settings, []byte{8, 1}, start(len(settings)), []byte{8, 2}, start(len(settings))),
+		batch(10, siteSettings, []byte{8, 1}, start(len(siteSettings)), []byte{8, 2}, start(len(siteSettings))),
 		batch(20, "", []byte{8, 2}, query(5)),
 		batch(30, "", []byte{8, 2}, []byte{11}, []byte{8, 1}, query(5)),
 		batch(40, ""),
@@ -86,7 +86,7 @@
 }
 
 func TestFaultsEndTheRunWithoutAHalfReply(t *testing.T) {
-	ok := batch(10, settings, []byte{8, 1}, start(len(settings)))
+	ok := batch(10, siteSettings, []byte{8, 1}, start(len(siteSettings)))
 	for want, bad := range map[string][]byte{
 		"instance 9, which has not started": batch(20, "", []byte{8, 9}, query(1)),
 		"unknown event code 77":             batch(20, "", []byte{8, 1}, []byte{77}),
--- /dev/null
+++ b/cmd/thymebend/main.go
@@ -0,0 +1,48 @@
+// Command thymebend is the real gateway. It reads its configuration, wires the loop to the gateway's state and
+// runs until it is stopped.
+package main
+
+import (
+	"math"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"passfold/internal/config"
+	"passfold/internal/gateway"
+	"passfold/internal/loop"
+)
+
+// heapShare of the memory limit is the collector's; the rest is for stacks, sockets and the program itself.
+const heapShare = 0.6
+
+func main() {
+	log := zerolog.New(os.Stderr).With().Timestamp().Logger().Level(zerolog.InfoLevel)
+	if level, err := zerolog.ParseLevel(os.Getenv("LB_LOG")); err == nil && os.Getenv("LB_LOG") != "" {
+		log = log.Level(level)
+	}
+	if err := run(log); err != nil {
+		log.Error().Err(err).Msg("thymebend cannot run")
+		os.Exit(1)
+	}
+}
+
+func run(log zerolog.Logger) error {
+	cfg, err := config.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	log = log.With().Str("name", cfg.Name).Logger()
+	runtime.GOMAXPROCS(int(max(1, math.Floor(cfg.Limits.Cores))))
+	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB * heapShare * (1 << 20)))
+	l, err := loop.New(loop.NewClock(), cfg.Listen)
+	if err != nil {
+		return err
+	}
+	l.NotifyStop(syscall.SIGTERM, syscall.SIGINT)
+	log.Info().Stringer("listen", cfg.Listen).Msg("started")
+	return l.Run(gateway.New(cfg, log))
+}
--- /dev/null
+++ b/internal/clients/link.go
@@ -0,0 +1,105 @@
+package clients
+
+import (
+	"strconv"
+	"time"
+
+	"passfold"
+	"passfold/internal/http1"
+	"passfold/internal/loop"
+)
+
+// HealthPath is where the front asks whether this gateway is ready.
+const HealthPath = "/healthz"
+
+// Limits of a client link.
+const (
+	// MostPipelined bounds what a client may send ahead of an answer; past it the link is not read.
+	MostPipelined = http1.MaxHead + http1.MaxBody
+	// IdleAfter closes a link on which nothing was asked for this long.
+	IdleAfter = 90 * time.Second
+	// RequestWithin is how long a request may take to come whole.
+	RequestWithin = 10 * time.Second
+	// LingerFor is how long the end of a link waits for the client's own.
+	LingerFor = time.Second
+)
+
+// Link is one client link.
+type Link struct {
+	Conn    loop.Conn
+	Query   passfold.RequestID // the query in work, with Busy
+	Busy    bool               // a query is in work or its answer not yet written out
+	Closing bool               // ends after the answer now written
+	Ended   bool               // our sending has ended; what still comes is dropped
+	Muted   bool
+	Timed   bool // the rest of a request is awaited for a limited time
+	LastAsk bool // is looked at once more before it is closed
+	reader  http1.Reader
+}
+
+// Feed takes what the client wrote.
+func (l *Link) Feed(data []byte) { l.reader.Feed(data) }
+
+// Next returns the client's next request if it is whole.
+func (l *Link) Next() (*http1.Message, *http1.Fault) { return l.reader.Next() }
+
+// Pending reports whether a part of a request has come.
+func (l *Link) Pending() bool { return l.reader.Pending() }
+
+// Overfull reports whether the client has sent more than it may ahead of an answer.
+func (l *Link) Overfull() bool { return l.reader.Buffered() > MostPipelined }
+
+// AwaitsContinue reports whether the client waits to be asked for the body.
+func (l *Link) AwaitsContinue() bool { return l.reader.AwaitsContinue() }
+
+// Continue asks for the body.
+func Continue() []byte { return []byte("HTTP/1.1 100 Continue\r\n\r\n") }
+
+// Links are the client links.
+type Links struct {
+	ByConn map[loop.Conn]*Link
+	Most   int
+}
+
+// NewLinks returns room for so many links.
+func NewLinks(most int) *Links { return &Links{ByConn: make(map[loop.Conn]*Link), Most: most} }
+
+// Add takes a new client link.
+func (s *Links) Add(c loop.Conn) *Link {
+	l := &Link{Conn: c}
+	s.ByConn[c] = l
+	return l
+}
+
+// Served words a host's answer for the client.
+func Served(fields []http1.Field, body []byte, keepAlive bool) []byte {
+	return http1.AppendResponse(nil, 200, fields, body, keepAlive)
+}
+
+// Refused words a refusal: trying again is harmless, after the time stated.
+func Refused(after time.Duration, keepAlive bool) []byte {
+	var fields []http1.Field
+	if after > 0 {
+		seconds := strconv.FormatFloat(after.Seconds(), 'f', 3, 64)
+		fields = []http1.Field{{Name: "Retry-After", Value: seconds}}
+	}
+	return http1.AppendResponse(nil, 503, fields, []byte("refused, trying again is harmless\n"), keepAlive)
+}
+
+// Failed words a failure that promises nothing. It must be neither 429 nor 503: the request may have run.
+func Failed(keepAlive bool) []byte {
+	return http1.AppendResponse(nil, 502, nil, []byte("failed, the request may have run\n"), keepAlive)
+}
+
+// Faulty words what is wrong with a request.
+func Faulty(f *http1.Fault, keepAlive bool) []byte {
+	return http1.AppendResponse(nil, f.Status, nil, []byte(f.Text+"\n"), keepAlive)
+}
+
+// Health words the answer to a look at this gateway's health.
+func Health(ready, keepAlive bool) []byte {
+	if ready {
+		return http1.AppendResponse(nil, 200, nil, []byte("ready\n"), keepAlive)
+	}
+	return http1.AppendResponse(nil, 503, nil, []byte("not ready\n"), keepAlive)
+}
--- /dev/null
+++ b/internal/clients/query.go
@@ -0,0 +1,94 @@
+// Package clients speaks to the clients: client links, what a query must state, and how final answers are
+// worded. A second protocol for clients would be a package beside this one.
+package clients
+
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"passfold"
+	"passfold/internal/http1"
+)
+
+// The header fields of this peer.
+const (
+	fieldID       = "X-Trace-Id"
+	fieldClass    = "X-Qos"
+	fieldDeadline = "X-Expires-In"
+)
+
+// mostPatience bounds what a client may state. No class of any deployment waits longer.
+const mostPatience = time.Hour
+
+// Query is a valid request of a client.
+type Query struct {
+	Class    int
+	Patience time.Duration
+	Message  *http1.Message
+}
+
+// Read checks a request against the classes. What it refuses never reaches the module nor a host.
+func Read(m *http1.Message, classes []passfold.Class) (Query, *http1.Fault) {
+	q := Query{Message: m, Class: -1}
+	path, _, _ := strings.Cut(m.Target, "?")
+	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	for i := range classes {
+		if classes[i].Name == first {
+			q.Class = i
+		}
+	}
+	if q.Class < 0 {
+		return q, &http1.Fault{Status: 404, Text: "no such path"}
+	}
+	if stated, times := m.Get(fieldClass); times != 1 || stated != first {
+		return q, fault(fieldClass + " must name the class of the path")
+	}
+	method := "GET"
+	if classes[q.Class].Effect != passfold.Safe {
+		method = "POST"
+	}
+	if m.Method != method {
+		return q, fault("the class needs method " + method)
+	}
+	if method == "GET" && len(m.Body) > 0 {
+		return q, fault("a GET has no body")
+	}
+	if id, times := m.Get(fieldID); times != 1 || id == "" || len(id) > 128 || strings.ContainsAny(id, " \t,") {
+		return q, fault(fieldID + " is missing or malformed")
+	}
+	text, times := m.Get(fieldDeadline)
+	patience, ok := span(text)
+	if times != 1 || !ok {
+		return q, fault(fieldDeadline + " is missing or malformed")
+	}
+	q.Patience = patience
+	return q, nil
+}
+
+func fault(text string) *http1.Fault { return &http1.Fault{Status: 400, Text: text} }
+
+// span reads a number and a unit: m milliseconds or u microseconds.
+func span(s string) (time.Duration, bool) {
+	if s == "" {
+		return 0, false
+	}
+	unit := time.Millisecond
+	switch s[len(s)-1] {
+	case 'm':
+	case 'u':
+		unit = time.Microsecond
+	default:
+		return 0, false
+	}
+	digits := s[:len(s)-1]
+	if strings.Trim(digits, "0123456789.") != "" {
+		return 0, false // no sign, exponent, infinity or hexadecimal form
+	}
+	v, err := strconv.ParseFloat(digits, 64)
+	if err != nil || math.IsInf(v, 0) || v <= 0 || v*float64(unit) > float64(mostPatience) {
+		return 0, false
+	}
+	return time.Duration(v * float64(unit)), true
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,109 @@
+// Package config reads what a gateway is told at its start, from the environment and from the file that it
+// names, and refuses what cannot work by the name of the field.
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"passfold/internal/settings"
+)
+
+// Config is all that a gateway is told at its start.
+type Config struct {
+	Name      string
+	Listen    netip.AddrPort
+	Discovery netip.AddrPort
+	Seed      uint64
+	Limits    Limits
+	Known     json.RawMessage // the host list as last had, in discovery's form; may be empty
+	Settings  settings.Settings
+}
+
+// Limits are those of the machine.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB float64 `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// The least that the program can work in.
+const (
+	leastSockets = 64
+	leastMemory  = 16
+)
+
+// Load reads the environment and the file. The environment goes first where both tell the same.
+func Load(getenv func(string) string) (Config, error) {
+	path := getenv("LB_CONFIG")
+	if path == "" {
+		return Config{}, fmt.Errorf("LB_CONFIG is not set")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("LB_CONFIG: %w", err)
+	}
+	var file struct {
+		Name      string          `json:"name"`
+		Listen    string          `json:"listen"`
+		Discovery string          `json:"discovery"`
+		Seed      string          `json:"seed"`
+		Limits    Limits          `json:"limits"`
+		Known     json.RawMessage `json:"known"`
+		Settings  json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(raw, &file); err != nil {
+		return Config{}, fmt.Errorf("LB_CONFIG: %s: %w", path, err)
+	}
+	c := Config{Name: either(getenv("LB_NAME"), file.Name), Limits: file.Limits, Known: file.Known}
+	if c.Name == "" {
+		return c, fmt.Errorf("name is missing (LB_NAME)")
+	}
+	if c.Listen, err = address("listen", either(getenv("LB_LISTEN"), file.Listen)); err != nil {
+		return c, err
+	}
+	if c.Discovery, err = address("discovery", either(getenv("LB_DISCOVERY"), file.Discovery)); err != nil {
+		return c, err
+	}
+	if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
+		return c, fmt.Errorf("seed %q is not a hexadecimal number of 64 bits", file.Seed)
+	}
+	if err := c.Limits.check(); err != nil {
+		return c, err
+	}
+	if len(file.Settings) == 0 {
+		return c, fmt.Errorf("settings is missing")
+	}
+	c.Settings, err = settings.ParseJSON(file.Settings)
+	return c, err
+}
+
+func (l Limits) check() error {
+	switch {
+	case !(l.Cores > 0):
+		return fmt.Errorf("limits.cores is %v, must be positive", l.Cores)
+	case !(l.MemoryMB >= leastMemory):
+		return fmt.Errorf("limits.memory_mb is %v, must be at least %d", l.MemoryMB, leastMemory)
+	case l.Sockets < leastSockets:
+		return fmt.Errorf("limits.sockets is %d, must be at least %d", l.Sockets, leastSockets)
+	}
+	return nil
+}
+
+func either(first, second string) string {
+	if first != "" {
+		return first
+	}
+	return second
+}
+
+func address(field, text string) (netip.AddrPort, error) {
+	at, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return at, fmt.Errorf("%s %q is not an address and port", field, text)
+	}
+	return at, nil
+}
--- /dev/null
+++ b/internal/gateway/actions.go
@@ -0,0 +1,138 @@
+package gateway
+
+import (
+	"time"
+
+	"passfold"
+	"passfold/internal/clients"
+	"passfold/internal/loop"
+)
+
+// The methods of this file are what the module asks for. They change the state and ask for effects, and they
+// put off all that the module has to hear: it must not be called while it calls.
+
+// Send implements passfold.Actions.
+func (g *Gateway) Send(id passfold.RequestID, to passfold.ServerID, timeout time.Duration) {
+	q := g.queries[id]
+	if q == nil {
+		g.log.Error().Uint32("query", uint32(id)).Msg("send for an unknown query")
+		return
+	}
+	g.nextExec++
+	x := &execution{query: q, number: q.attempts, id: g.nextExec, host: to, began: g.now, until: q.deadline}
+	q.attempts++
+	q.executions = append(q.executions, x)
+	g.byID[x.id] = x
+	if timeout != 0 {
+		x.until = min(x.until, g.now+timeout)
+	}
+	host := g.group.Find(to)
+	switch {
+	case q.over || x.until <= g.now || x.number >= g.cfg.Settings.Config.MaxAttempts:
+		g.endExecution(x, EndOver, nil)
+	case host == nil || host.State != passfold.Ready:
+		g.endExecution(x, EndHostLeft, nil)
+	default:
+		g.setTimer(timerExecution, x.id, x.until)
+		g.begin(x)
+	}
+}
+
+// Refuse implements passfold.Actions. A refusal goes out at once.
+func (g *Gateway) Refuse(id passfold.RequestID, after time.Duration) {
+	if q, l := g.finish(id); l != nil {
+		g.answer(q, l, clients.Refused(after, !l.Closing))
+	}
+}
+
+// Fail implements passfold.Actions.
+func (g *Gateway) Fail(id passfold.RequestID) {
+	if q, l := g.finish(id); l != nil {
+		g.answer(q, l, clients.Failed(!l.Closing))
+	}
+}
+
+// finish concludes a query and returns the link on which its answer goes out, if the client is still there.
+func (g *Gateway) finish(id passfold.RequestID) (*query, *clients.Link) {
+	q := g.queries[id]
+	if q == nil || q.over {
+		return nil, nil
+	}
+	q.over = true
+	g.forget(q)
+	return q, g.links.ByConn[q.client]
+}
+
+// forget drops a query once nothing refers to it.
+func (g *Gateway) forget(q *query) {
+	if q.over && len(q.executions) == 0 {
+		delete(g.queries, q.id)
+	}
+}
+
+// Cancel implements passfold.Actions.
+func (g *Gateway) Cancel(id passfold.RequestID, attempt int) {
+	q := g.queries[id]
+	if q == nil {
+		return
+	}
+	for _, x := range q.executions {
+		if x.number == attempt {
+			g.endExecution(x, EndCalledOff, nil)
+			return
+		}
+	}
+}
+
+// Close implements passfold.Actions.
+func (g *Gateway) Close(to passfold.ServerID) {
+	for _, l := range g.pool.IdleTo(to) {
+		g.dropLink(l, EndLinkIdle)
+	}
+}
+
+// Wake implements passfold.Actions. A token may be out more than once, so each has a number of its own.
+func (g *Gateway) Wake(after time.Duration, token uint32) {
+	g.wakes++
+	g.setTimer(timerWake, g.wakes<<32|uint64(token), g.now+after)
+}
+
+// Watch implements passfold.Actions.
+func (g *Gateway) Watch() {
+	g.dropWatch(EndListReplace, nil)
+	g.openWatch()
+}
+
+// Log implements passfold.Actions.
+func (g *Gateway) Log(line string) { g.log.Info().Str("from", "module").Msg(line) }
+
+// tellEnds tells the module the ends that came up while it was busy. What it answers may bring about more.
+func (g *Gateway) tellEnds() {
+	for len(g.ended) > 0 {
+		p := g.ended[0]
+		g.ended = g.ended[1:]
+		g.tellEnd(p)
+	}
+	if len(g.ended) == 0 {
+		g.ended = g.ended[:0]
+	}
+	if g.lost {
+		g.lost = false
+		g.told = true
+		g.module.List(g.now, passfold.ListFailed, nil)
+	}
+}
+
+func (g *Gateway) tellEnd(p pendingEnd) {
+	q := p.exec.query
+	outcome, _ := p.end.outcome()
+	end := passfold.AttemptEnd{Request: q.id, Attempt: p.exec.number, Server: p.exec.host, Outcome: outcome,
+		Latency: g.now - p.exec.began, Closed: q.over}
+	if p.answer != nil && g.cfg.Settings.Gateway.Waiting >= 0 {
+		end.Reported, end.Waiting = p.answer.Reported, p.answer.Waiting
+	}
+	g.told = true
+	g.module.AttemptEnd(g.now, end)
+}
+
+var _ loop.Reducer = (*Gateway)(nil)
--- /dev/null
+++ b/internal/gateway/fromclients.go
@@ -0,0 +1,231 @@
+package gateway
+
+import (
+	"strings"
+	"time"
+
+	"passfold"
+	"passfold/internal/clients"
+	"passfold/internal/http1"
+	"passfold/internal/loop"
+)
+
+// acceptPause is how long the listener rests when there is no descriptor left, unless a link closes before.
+const acceptPause = 50 * time.Millisecond
+
+func (g *Gateway) listener(e loop.Event) {
+	switch e.Kind {
+	case loop.Readable:
+		if len(g.links.ByConn) >= g.links.Most && !g.evict() {
+			g.pause()
+			return
+		}
+		g.ask(loop.Effect{Op: loop.Accept, Conn: loop.Listener})
+	case loop.AcceptFailed:
+		g.log.Warn().Err(e.Err).Msg("accept")
+		g.evict()
+		g.pause()
+	}
+}
+
+// pause stops looking at the listener. Guards against spinning while connections wait that cannot be taken.
+func (g *Gateway) pause() {
+	if !g.paused && !g.closed {
+		g.paused = true
+		g.ask(loop.Effect{Op: loop.Mute, Conn: loop.Listener})
+		g.setTimer(timerAccept, 0, g.now+acceptPause)
+	}
+}
+
+func (g *Gateway) resume() {
+	if g.paused {
+		g.paused = false
+		g.stopTimer(timerAccept, 0)
+		g.ask(loop.Effect{Op: loop.Unmute, Conn: loop.Listener})
+	}
+}
+
+// evict makes room by closing the idle client link that is oldest.
+func (g *Gateway) evict() bool {
+	var oldest *clients.Link
+	for _, l := range g.links.ByConn {
+		if !l.Busy && !l.Pending() && (oldest == nil || l.Conn < oldest.Conn) {
+			oldest = l
+		}
+	}
+	if oldest != nil {
+		g.lookAndClose(oldest)
+	}
+	return oldest != nil
+}
+
+func (g *Gateway) accepted(c loop.Conn) {
+	g.links.Add(c)
+	g.setTimer(timerClient, uint64(c), g.now+clients.IdleAfter)
+}
+
+func (g *Gateway) clientEvent(l *clients.Link, e loop.Event) {
+	switch e.Kind {
+	case loop.Readable:
+		g.ask(loop.Effect{Op: loop.Read, Conn: l.Conn})
+	case loop.Data:
+		l.LastAsk = false
+		if l.Ended {
+			return // what comes after the last answer belongs to no query
+		}
+		l.Feed(e.Data)
+		g.advance(l)
+	case loop.Drained:
+		if l.LastAsk && !l.Busy && !l.Pending() {
+			g.dropClient(l, EndLinkIdle)
+		}
+	case loop.EOF, loop.Broken:
+		end := EndClientGone
+		if l.Ended {
+			end = EndAnswered
+		}
+		g.dropClient(l, end)
+	case loop.Flushed:
+		g.flushed(l)
+	}
+}
+
+// advance takes the next request of a link, if it is whole and none is in work.
+func (g *Gateway) advance(l *clients.Link) {
+	for !l.Busy && !l.Ended {
+		m, fault := l.Next()
+		switch {
+		case fault != nil:
+			l.Closing = true
+			g.reply(l, clients.Faulty(fault, false))
+			return
+		case m == nil:
+			g.awaitRest(l)
+			return
+		}
+		g.stopTimer(timerClient, uint64(l.Conn))
+		l.Closing = l.Closing || !m.KeepAlive || g.stopping
+		g.take(l, m)
+	}
+	if l.Overfull() && !l.Muted {
+		l.Muted = true
+		g.ask(loop.Effect{Op: loop.Mute, Conn: l.Conn})
+	}
+}
+
+// awaitRest bounds the time for the rest of a request, from its first byte on.
+func (g *Gateway) awaitRest(l *clients.Link) {
+	if !l.Pending() {
+		return
+	}
+	if !l.Timed {
+		l.Timed = true
+		g.setTimer(timerClient, uint64(l.Conn), g.now+clients.RequestWithin)
+	}
+	if l.AwaitsContinue() {
+		g.write(l.Conn, clients.Continue())
+	}
+}
+
+// take answers a request itself or makes it a query of the module's.
+func (g *Gateway) take(l *clients.Link, m *http1.Message) {
+	l.Timed = false
+	if path, _, _ := strings.Cut(m.Target, "?"); path == clients.HealthPath && m.Method == "GET" {
+		g.reply(l, clients.Health(g.group.Len() > 0 && !g.stopping, !l.Closing))
+		return
+	}
+	read, fault := clients.Read(m, g.cfg.Settings.Config.Classes)
+	if fault != nil {
+		g.reply(l, clients.Faulty(fault, !l.Closing))
+		return
+	}
+	if len(g.queries) >= g.cfg.Settings.Gateway.MostOpen {
+		g.reply(l, clients.Refused(g.cfg.Settings.Config.MaxRetryAfter, !l.Closing))
+		return
+	}
+	g.nextID++
+	q := &query{Query: read, id: g.nextID, client: l.Conn, deadline: g.now + read.Patience}
+	g.queries[q.id] = q
+	l.Busy, l.Query = true, q.id
+	g.told = true
+	g.module.Request(g.now, passfold.Request{ID: q.id, Class: read.Class, Patience: read.Patience})
+}
+
+// reply writes an answer of the gateway's own, to what is no query.
+func (g *Gateway) reply(l *clients.Link, data []byte) {
+	l.Busy, l.Query = true, 0
+	g.write(l.Conn, data)
+}
+
+// answer writes a query's final answer.
+func (g *Gateway) answer(q *query, l *clients.Link, data []byte) {
+	l.Query = 0
+	q.client = 0
+	g.write(l.Conn, data)
+}
+
+// flushed goes on once an answer is written out: with the next request, or with the end of the link.
+func (g *Gateway) flushed(l *clients.Link) {
+	if !l.Busy || l.Query != 0 || l.Ended {
+		return
+	}
+	l.Busy = false
+	if l.Closing {
+		// Only the sending ends yet: to close a socket on which bytes are still unread would reset it, and
+		// could take the answer from the client.
+		l.Ended = true
+		g.ask(loop.Effect{Op: loop.Shutdown, Conn: l.Conn})
+		g.setTimer(timerClient, uint64(l.Conn), g.now+clients.LingerFor)
+		return
+	}
+	if l.Muted {
+		l.Muted = false
+		g.ask(loop.Effect{Op: loop.Unmute, Conn: l.Conn})
+	}
+	g.setTimer(timerClient, uint64(l.Conn), g.now+clients.IdleAfter)
+	if g.closed {
+		g.lookAndClose(l)
+	}
+	g.advance(l)
+}
+
+// lookAndClose closes an idle link after one more look: a request that lies in it unread would be lost.
+func (g *Gateway) lookAndClose(l *clients.Link) {
+	l.LastAsk = true
+	g.ask(loop.Effect{Op: loop.Read, Conn: l.Conn})
+}
+
+func (g *Gateway) clientTimer(c loop.Conn) {
+	l := g.links.ByConn[c]
+	switch {
+	case l == nil:
+	case l.Ended:
+		g.dropClient(l, EndAnswered)
+	case l.Busy:
+	case l.Pending():
+		l.Closing = true
+		g.reply(l, clients.Faulty(&http1.Fault{Status: 408, Text: "the request did not come whole"}, false))
+	default:
+		g.lookAndClose(l)
+	}
+}
+
+// dropClient ends a client link. A query in work on it has lapsed, and its executions end with it.
+func (g *Gateway) dropClient(l *clients.Link, end End) {
+	g.log.Debug().Uint64("link", uint64(l.Conn)).Stringer("end", end).Msg("client link")
+	g.stopTimer(timerClient, uint64(l.Conn))
+	delete(g.links.ByConn, l.Conn)
+	g.close(l.Conn)
+	g.resume()
+	q := g.queries[l.Query]
+	if l.Query == 0 || q == nil || q.over {
+		return
+	}
+	q.over, q.client = true, 0
+	g.told = true
+	g.module.Lapsed(g.now, q.id)
+	for _, x := range append([]*execution(nil), q.executions...) {
+		g.endExecution(x, EndClientGone, nil)
+	}
+	g.forget(q)
+}
--- /dev/null
+++ b/internal/gateway/fromservers.go
@@ -0,0 +1,201 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"passfold"
+	"passfold/internal/clients"
+	"passfold/internal/loop"
+	"passfold/internal/servers"
+)
+
+// begin writes an execution on an idle link to its host, or opens one.
+func (g *Gateway) begin(x *execution) {
+	if l := g.pool.Take(x.host); l != nil {
+		g.stopTimer(timerLink, uint64(l.Conn))
+		g.bind(x, l)
+		g.request(x, loop.WriteQuiet)
+		return
+	}
+	if g.pool.Full() {
+		oldest := g.pool.Oldest()
+		if oldest == nil {
+			g.endExecution(x, EndNoRoom, nil)
+			return
+		}
+		g.dropLink(oldest, EndLinkIdle)
+	}
+	l := g.pool.Open(x.host)
+	g.bind(x, l)
+	notUp := g.now + g.cfg.Settings.Gateway.ConnectTimeout
+	g.setTimer(timerExecution, x.id, min(x.until, notUp))
+	g.ask(loop.Effect{Op: loop.Dial, Conn: l.Conn, Addr: g.group.Find(x.host).Dial})
+}
+
+func (g *Gateway) bind(x *execution, l *servers.Link) {
+	x.link = l
+	g.byLink[l.Conn] = x
+}
+
+// request writes the query to the host. Nothing goes to a host that has left meanwhile: see hostsLeft.
+func (g *Gateway) request(x *execution, op loop.Op) {
+	x.link.Phase = servers.Writing
+	data := servers.AppendRequest(nil, x.query.Message, x.until-g.now)
+	g.ask(loop.Effect{Op: op, Conn: x.link.Conn, Data: data})
+}
+
+func (g *Gateway) serverEvent(l *servers.Link, e loop.Event) {
+	x := g.byLink[l.Conn]
+	switch e.Kind {
+	case loop.Readable:
+		g.ask(loop.Effect{Op: loop.Read, Conn: l.Conn})
+	case loop.Connected:
+		g.setTimer(timerExecution, x.id, x.until)
+		g.request(x, loop.Write)
+	case loop.Flushed:
+		if l.Phase == servers.Writing {
+			l.Phase = servers.Awaiting
+		}
+	case loop.Stale:
+		// Nothing was written. The host closed this link while it was idle; the next one may be better.
+		g.dropLink(l, EndLinkIdle)
+		g.begin(x)
+	case loop.Data:
+		g.serverData(l, x, e.Data)
+	case loop.EOF, loop.Broken:
+		g.linkBroke(l, x, e)
+	}
+}
+
+func (g *Gateway) serverData(l *servers.Link, x *execution, data []byte) {
+	if x == nil {
+		g.dropLink(l, EndGarbled) // bytes that no request asked for
+		return
+	}
+	answer, err := l.Feed(data)
+	switch {
+	case err != nil:
+		g.log.Warn().Err(err).Msg("answer of a host")
+		g.endExecution(x, EndGarbled, nil)
+	case answer != nil:
+		g.answered(x, answer)
+	}
+}
+
+// linkBroke ends what is under way on a link that broke or was ended by its host.
+func (g *Gateway) linkBroke(l *servers.Link, x *execution, e loop.Event) {
+	if x == nil {
+		g.dropLink(l, EndLinkIdle)
+		return
+	}
+	switch {
+	case l.Phase == servers.Connecting:
+		g.endExecution(x, EndUnreached, nil)
+	case l.Phase == servers.Writing:
+		g.endExecution(x, EndUnsent, nil)
+	default:
+		if e.Kind == loop.EOF {
+			if answer := l.End(); answer != nil {
+				g.answered(x, answer)
+				return
+			}
+		}
+		g.endExecution(x, EndCut, nil)
+	}
+}
+
+// answered takes a host's whole answer. The first 200 goes to the client as it is.
+func (g *Gateway) answered(x *execution, a *servers.Answer) {
+	end := EndFaulty
+	switch {
+	case a.Status == 200:
+		end = EndServed
+	case a.NeverRan && (a.Status == 503 || a.Status == 504):
+		end = EndTurnedAway
+	}
+	l, q := x.link, x.query
+	if l.Phase == servers.Awaiting && l.Reusable(a) && g.mayRest(l) {
+		g.unbind(x)
+		g.pool.Rest(l)
+		g.setTimer(timerLink, uint64(l.Conn), g.now+scale(g.cfg.Settings.Gateway.ConnIdle, idleShare))
+	}
+	if end == EndServed && !q.over {
+		q.over = true
+		if c := g.links.ByConn[q.client]; c != nil {
+			g.answer(q, c, clients.Served(a.Passed(), a.Body, !c.Closing))
+		}
+	}
+	g.endExecution(x, end, a)
+}
+
+func (g *Gateway) mayRest(l *servers.Link) bool {
+	h := g.group.Find(l.Host)
+	return h != nil && h.State == passfold.Ready && !g.stopping
+}
+
+func (g *Gateway) unbind(x *execution) {
+	delete(g.byLink, x.link.Conn)
+	x.link = nil
+}
+
+// endExecution ends an execution, with its link if it still has one: a late answer on it must not reach
+// another query. The module is told once it has returned.
+func (g *Gateway) endExecution(x *execution, end End, answer *servers.Answer) {
+	if l := x.link; l != nil {
+		g.unbind(x)
+		g.dropLink(l, end)
+	}
+	g.stopTimer(timerExecution, x.id)
+	delete(g.byID, x.id)
+	q := x.query
+	q.executions = slices.DeleteFunc(q.executions, func(y *execution) bool { return y == x })
+	g.forget(q)
+	if end != EndServed && end != EndTurnedAway {
+		g.log.Debug().Uint32("query", uint32(q.id)).Int("attempt", x.number).Stringer("end", end).
+			Dur("after", g.now-x.began).Msg("execution")
+	}
+	g.ended = append(g.ended, pendingEnd{exec: x, end: end, answer: answer})
+}
+
+// dropLink closes a server link.
+func (g *Gateway) dropLink(l *servers.Link, end End) {
+	g.log.Debug().Uint64("link", uint64(l.Conn)).Stringer("end", end).Msg("server link")
+	g.stopTimer(timerLink, uint64(l.Conn))
+	g.pool.Remove(l)
+	delete(g.byLink, l.Conn)
+	g.close(l.Conn)
+}
+
+func (g *Gateway) executionTimer(id uint64) {
+	x := g.byID[id]
+	switch {
+	case x == nil:
+	case x.link.Phase == servers.Connecting:
+		g.endExecution(x, EndNotUp, nil)
+	case x.link.Phase == servers.Writing:
+		g.endExecution(x, EndUnsent, nil)
+	default:
+		g.endExecution(x, EndTimedOut, nil)
+	}
+}
+
+// hostsLeft closes the idle links to hosts that drain, are gone or have started anew, and ends the executions
+// that still connect to one that takes nothing new: not a byte may go there after the gateway has been told.
+func (g *Gateway) hostsLeft(changed []passfold.ServerID) {
+	for _, id := range changed {
+		for _, l := range g.pool.IdleTo(id) {
+			g.dropLink(l, EndHostLeft)
+		}
+		if h := g.group.Find(id); h != nil && h.State == passfold.Ready {
+			continue
+		}
+		for _, l := range g.pool.ConnectingTo(id) {
+			if x := g.byLink[l.Conn]; x != nil {
+				g.endExecution(x, EndHostLeft, nil)
+			}
+		}
+	}
+}
+
+func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,220 @@
+// Package gateway holds the state of the real gateway. All of it changes in one reducer, Step: an event in,
+// effects out. It hosts the decision module, tells it what happens and carries out its actions; it takes no
+// decisions of its own.
+package gateway
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"passfold"
+	"passfold/internal/clients"
+	"passfold/internal/config"
+	"passfold/internal/hostgroup"
+	"passfold/internal/loop"
+	"passfold/internal/servers"
+)
+
+// Timers by kind. Their ids are connections, executions or tokens of the module.
+const (
+	timerWake uint8 = iota
+	timerClient
+	timerLink
+	timerExecution
+	timerWatch
+	timerAccept
+	timerStop
+)
+
+// The budget of descriptors: a few are the program's own, the rest is shared out, so that neither a crowd of
+// clients nor slow hosts can take what the other side needs.
+const (
+	ownSockets  = 24
+	clientShare = 0.65
+)
+
+// idleShare of the time after which hosts close idle links: closed by then, none is reused too late.
+const idleShare = 0.7
+
+// query is a request that this gateway has taken.
+type query struct {
+	clients.Query
+	id         passfold.RequestID
+	client     loop.Conn // 0 once the client is gone
+	deadline   time.Duration
+	over       bool // has its final answer, or its client is gone
+	attempts   int
+	executions []*execution // under way
+}
+
+// execution is one attempt under way.
+type execution struct {
+	query  *query
+	number int
+	id     uint64
+	host   passfold.ServerID
+	link   *servers.Link
+	began  time.Duration
+	until  time.Duration // awaited until then
+}
+
+// pendingEnd is an end that the module is told once it has returned.
+type pendingEnd struct {
+	exec   *execution
+	end    End
+	answer *servers.Answer
+}
+
+// Gateway is the state. It implements passfold.Actions.
+type Gateway struct {
+	cfg    config.Config
+	log    zerolog.Logger
+	module *passfold.Balancer
+	now    time.Duration
+
+	effects []loop.Effect
+	ended   []pendingEnd
+	told    bool // the module was told something since its last Dispatch
+	wakes   uint64
+
+	queries  map[passfold.RequestID]*query
+	nextID   passfold.RequestID
+	byLink   map[loop.Conn]*execution
+	byID     map[uint64]*execution
+	nextExec uint64
+
+	links    *clients.Links
+	pool     *servers.Pool
+	group    *hostgroup.Group
+	watch    *hostgroup.Watch
+	lost     bool // the watch ended; the module is told once it has returned
+	paused   bool // the listener is muted
+	stopping bool
+	closed   bool // the listener is closed
+}
+
+// New returns a gateway. Nothing happens before the first event.
+func New(cfg config.Config, log zerolog.Logger) *Gateway {
+	sockets := float64(cfg.Limits.Sockets - ownSockets)
+	inbound := int(sockets * clientShare)
+	return &Gateway{
+		cfg: cfg, log: log,
+		queries: make(map[passfold.RequestID]*query),
+		byLink:  make(map[loop.Conn]*execution), byID: make(map[uint64]*execution),
+		links: clients.NewLinks(inbound), pool: servers.NewPool(int(sockets) - inbound),
+		group: hostgroup.New(cfg.Settings.Gateway.Zones),
+	}
+}
+
+// Step is the reducer. The module is called here and nowhere else, never from one of its own actions.
+func (g *Gateway) Step(now time.Duration, e loop.Event) []loop.Effect {
+	g.now, g.effects = now, g.effects[:0]
+	switch e.Kind {
+	case loop.Start:
+		g.start()
+	case loop.Stop:
+		g.stop()
+	case loop.TimerDue:
+		g.timerDue(e.Timer)
+	case loop.Turn:
+		if g.told {
+			g.told = false
+			g.module.Dispatch(now)
+		}
+	default:
+		g.socket(e)
+	}
+	g.tellEnds()
+	if e.Kind == loop.Turn {
+		if g.told {
+			g.ask(loop.Effect{Op: loop.Again})
+		}
+		g.exitIfDone()
+	}
+	return g.effects
+}
+
+func (g *Gateway) ask(f loop.Effect) { g.effects = append(g.effects, f) }
+
+func (g *Gateway) close(c loop.Conn) { g.ask(loop.Effect{Op: loop.Close, Conn: c}) }
+
+func (g *Gateway) write(c loop.Conn, data []byte) {
+	g.ask(loop.Effect{Op: loop.Write, Conn: c, Data: data})
+}
+
+func (g *Gateway) setTimer(kind uint8, id uint64, at time.Duration) {
+	g.ask(loop.Effect{Op: loop.SetTimer, Timer: loop.Timer{Kind: kind, ID: id}, At: at})
+}
+
+func (g *Gateway) stopTimer(kind uint8, id uint64) {
+	g.ask(loop.Effect{Op: loop.StopTimer, Timer: loop.Timer{Kind: kind, ID: id}})
+}
+
+// start makes the module and gives it the list that this gateway last had.
+func (g *Gateway) start() {
+	module, err := passfold.New(g.cfg.Settings.Config, g.cfg.Seed, g.now, g)
+	if err != nil {
+		g.log.Error().Err(err).Msg("settings refused by the module")
+		g.ask(loop.Effect{Op: loop.Exit, Failed: err})
+		return
+	}
+	g.module = module
+	g.told = true
+	if len(g.cfg.Known) == 0 {
+		g.module.List(g.now, passfold.ListCached, nil)
+		return
+	}
+	news, err := g.group.Apply(g.cfg.Known)
+	if err != nil {
+		g.log.Error().Err(err).Msg("the known list is not usable")
+	}
+	g.module.List(g.now, passfold.ListCached, news.Entries)
+}
+
+// socket hands the news of a socket to the peer that it belongs to. A socket that no peer knows was closed.
+func (g *Gateway) socket(e loop.Event) {
+	if e.Conn == loop.Listener {
+		g.listener(e)
+		return
+	}
+	if e.Kind == loop.Accepted {
+		g.accepted(e.Conn)
+		return
+	}
+	if g.watch != nil && g.watch.Conn == e.Conn {
+		g.watchEvent(e)
+		return
+	}
+	if l := g.links.ByConn[e.Conn]; l != nil {
+		g.clientEvent(l, e)
+		return
+	}
+	if l := g.pool.Find(e.Conn); l != nil {
+		g.serverEvent(l, e)
+		return
+	}
+	g.close(e.Conn)
+}
+
+func (g *Gateway) timerDue(t loop.Timer) {
+	switch t.Kind {
+	case timerWake:
+		g.told = true
+		g.module.Timer(g.now, uint32(t.ID))
+	case timerClient:
+		g.clientTimer(loop.Conn(t.ID))
+	case timerLink:
+		if l := g.pool.Find(loop.Conn(t.ID)); l != nil && l.Phase == servers.Idle {
+			g.dropLink(l, EndLinkIdle)
+		}
+	case timerExecution:
+		g.executionTimer(t.ID)
+	case timerWatch:
+		g.watchEnds(EndListSilent, nil)
+	case timerAccept:
+		g.resume()
+	case timerStop:
+		g.closeListener()
+	}
+}
--- /dev/null
+++ b/internal/gateway/stop.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"time"
+
+	"passfold/internal/loop"
+)
+
+// acceptAfterStop is how long new connections are taken after SIGTERM: the front goes on bringing them for 0.4 s.
+// What comes later than 0.7 s would have to be answered before a SIGKILL that may come too soon.
+const acceptAfterStop = 550 * time.Millisecond
+
+// stop begins a planned end. Every answer from now on ends its link; idle links stay open while the front may
+// still bring new ones, for a client whose link closes would only come back here.
+func (g *Gateway) stop() {
+	if g.stopping {
+		return
+	}
+	g.log.Info().Int("queries", len(g.queries)).Msg("stopping")
+	g.stopping = true
+	for _, l := range g.links.ByConn {
+		l.Closing = l.Closing || l.Busy
+	}
+	g.resume()
+	g.setTimer(timerStop, 0, g.now+acceptAfterStop)
+}
+
+// closeListener takes what still waits at the listener, then closes it and the idle client links.
+func (g *Gateway) closeListener() {
+	g.closed = true
+	g.ask(loop.Effect{Op: loop.Accept, Conn: loop.Listener})
+	g.close(loop.Listener)
+	for _, l := range g.links.ByConn {
+		if !l.Busy && !l.Pending() {
+			g.lookAndClose(l)
+		}
+	}
+}
+
+// exitIfDone ends the program once all that was taken is answered and every client has its answer.
+func (g *Gateway) exitIfDone() {
+	if g.closed && len(g.queries) == 0 && len(g.links.ByConn) == 0 {
+		g.log.Info().Msg("stopped")
+		g.ask(loop.Effect{Op: loop.Exit})
+	}
+}
--- /dev/null
+++ b/internal/hostgroup/list.go
@@ -0,0 +1,147 @@
+// Package hostgroup follows the host group, discovery's list: its format, what the gateway has of it, and the
+// watch that brings its changes. A second source of lists would be a package beside this one.
+package hostgroup
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"net/netip"
+	"slices"
+	"time"
+
+	"passfold"
+)
+
+// Host is one host as the gateway reaches it.
+type Host struct {
+	passfold.Server
+	Name string
+	Dial netip.AddrPort
+}
+
+// Group is the list as this gateway has it.
+type Group struct {
+	zones []string
+	hosts map[passfold.ServerID]*Host
+	seq   uint64
+}
+
+// New returns an empty group. A host's zone is the place of its site among zones.
+func New(zones []string) *Group {
+	return &Group{zones: zones, hosts: make(map[passfold.ServerID]*Host)}
+}
+
+// Find returns a host of the list, or nil.
+func (g *Group) Find(id passfold.ServerID) *Host { return g.hosts[id] }
+
+// Len is the number of hosts listed.
+func (g *Group) Len() int { return len(g.hosts) }
+
+// News is one object that discovery wrote, applied to the group.
+type News struct {
+	Whole   bool
+	Entries []passfold.Server
+	Changed []passfold.ServerID // hosts whose idle links must not be used again
+}
+
+type document struct {
+	Seq   *uint64 `json:"seq"`
+	Whole bool    `json:"whole"`
+	Hosts []entry `json:"hosts"`
+}
+
+type entry struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"`
+	Born   float64 `json:"born_ms"`
+}
+
+// Apply takes one object in discovery's form. A faulty object changes nothing.
+func (g *Group) Apply(raw []byte) (News, error) {
+	var doc document
+	if err := json.Unmarshal(raw, &doc); err != nil {
+		return News{}, fmt.Errorf("host list: %w", err)
+	}
+	if doc.Seq == nil {
+		return News{}, fmt.Errorf("host list: seq is missing")
+	}
+	fresh := make([]*Host, 0, len(doc.Hosts))
+	for i := range doc.Hosts {
+		h, err := g.read(&doc.Hosts[i])
+		if err != nil {
+			return News{}, err
+		}
+		fresh = append(fresh, h)
+	}
+	news := News{Whole: doc.Whole}
+	if doc.Whole {
+		for id := range g.hosts {
+			if !slices.ContainsFunc(fresh, func(h *Host) bool { return h.ID == id }) {
+				news.Changed = append(news.Changed, id)
+				delete(g.hosts, id)
+			}
+		}
+		slices.Sort(news.Changed) // maps are walked in no order; the same news must have the same effects
+	}
+	for _, h := range fresh {
+		old := g.hosts[h.ID]
+		if old != nil && (old.Born != h.Born || old.Dial != h.Dial || h.State != passfold.Ready) {
+			news.Changed = append(news.Changed, h.ID)
+		}
+		g.hosts[h.ID] = h
+		if h.State == passfold.Gone {
+			delete(g.hosts, h.ID)
+		}
+		news.Entries = append(news.Entries, h.Server)
+	}
+	g.seq = *doc.Seq
+	return news, nil
+}
+
+func (g *Group) read(e *entry) (*Host, error) {
+	if e.Host == "" {
+		return nil, fmt.Errorf("host list: an entry without host")
+	}
+	h := &Host{Name: e.Host, Server: passfold.Server{ID: identity(e.Host), Zone: g.zone(e.Site), Cell: e.Block,
+		Born: time.Duration(math.Round(e.Born*1000)) * time.Microsecond}}
+	switch e.Health {
+	case "up":
+		h.State = passfold.Ready
+	case "draining":
+		h.State = passfold.Draining
+	case "removed":
+		h.State = passfold.Gone
+		return h, nil
+	default:
+		return nil, fmt.Errorf("host list: %s has unknown health %q", e.Host, e.Health)
+	}
+	var err error
+	if h.Dial, err = netip.ParseAddrPort(e.Dial); err != nil {
+		return nil, fmt.Errorf("host list: %s has dial %q", e.Host, e.Dial)
+	}
+	if !(e.Born >= 0 && e.Born < 1<<42) { // some 139 years of milliseconds
+		return nil, fmt.Errorf("host list: %s has born_ms %v", e.Host, e.Born)
+	}
+	return h, nil
+}
+
+// identity derives a host's number from its name alone, so that it is the same at every gateway: gateways
+// pick their servers by it.
+func identity(name string) passfold.ServerID {
+	sum := fnv.New64a()
+	_, _ = sum.Write([]byte(name)) // a hash never fails
+	return passfold.ServerID(sum.Sum64())
+}
+
+// zone is the place of a site among the zones; an unknown one lies in a zone of its own.
+func (g *Group) zone(site string) int {
+	if at := slices.Index(g.zones, site); at >= 0 {
+		return at
+	}
+	return len(g.zones)
+}
--- /dev/null
+++ b/internal/hostgroup/watch.go
@@ -0,0 +1,79 @@
+package hostgroup
+
+import (
+	"bytes"
+	"fmt"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"passfold/internal/http1"
+	"passfold/internal/loop"
+)
+
+// How long discovery may be silent. A call waits in turn before its answer begins; from then on a line comes
+// every 2 s. What discovery has to tell counts as told 6 s later, so silence must be noticed well before.
+const (
+	AnswerWithin = 4500 * time.Millisecond
+	BeatWithin   = 3 * time.Second
+)
+
+// mostPending bounds an unfinished line of the watch: thousands of hosts.
+const mostPending = 4 << 20
+
+// Watch is one call for the changes of the list.
+type Watch struct {
+	Conn    loop.Conn
+	reader  http1.Reader
+	pending []byte
+	started bool // its first line has come
+}
+
+// NewWatch prepares a watch on a connection.
+func NewWatch(conn loop.Conn) *Watch {
+	return &Watch{Conn: conn, reader: http1.Reader{Response: true, Stream: true}}
+}
+
+// Request is the call for what changed since the list that the group has.
+func (g *Group) Request(at netip.AddrPort) []byte {
+	return http1.AppendRequest(nil, "GET", "/v1/servers?stream=1&index="+strconv.FormatUint(g.seq, 10),
+		[]http1.Field{{Name: "Host", Value: at.String()}}, nil)
+}
+
+// Feed takes what discovery wrote and returns the whole lines. An empty line is a beat. ended tells that the
+// answer is over, which a watch's never is while all is well.
+func (w *Watch) Feed(data []byte) (lines [][]byte, ended bool, err error) {
+	w.reader.Feed(data)
+	head, piece, done, fault := w.reader.Pieces()
+	if fault != nil {
+		return nil, false, fault
+	}
+	if head != nil && head.Status != 200 {
+		return nil, false, fmt.Errorf("discovery answered %d", head.Status)
+	}
+	w.pending = append(w.pending, piece...)
+	for {
+		line, rest, ok := bytes.Cut(w.pending, []byte("\n"))
+		if !ok {
+			break
+		}
+		lines = append(lines, bytes.TrimSpace(line))
+		w.pending = rest
+	}
+	if len(w.pending) > mostPending {
+		return nil, false, fmt.Errorf("discovery wrote a line of over %d bytes", mostPending)
+	}
+	w.started = w.started || len(lines) > 0
+	return lines, done, nil
+}
+
+// Started reports whether discovery has begun to answer.
+func (w *Watch) Started() bool { return w.started }
+
+// Patience is how long the watch may now be silent.
+func (w *Watch) Patience() time.Duration {
+	if w.started {
+		return BeatWithin
+	}
+	return AnswerWithin
+}
--- /dev/null
+++ b/internal/http1/head.go
@@ -0,0 +1,194 @@
+// Package http1 reads and writes HTTP/1.1 messages. Reading is incremental and bounded: a peer can neither
+// make it hold more than the limits nor make it panic. It keeps nothing of the gateway.
+package http1
+
+import (
+	"bytes"
+	"strings"
+)
+
+// Limits of a message, in bytes.
+const (
+	MaxHead   = 16 << 10
+	MaxBody   = 64 << 10
+	maxFields = 100
+)
+
+// Fault is what is wrong with a message, with the status that tells a client so.
+type Fault struct {
+	Status int
+	Text   string
+}
+
+func (f *Fault) Error() string { return f.Text }
+
+func bad(text string) *Fault { return &Fault{Status: 400, Text: text} }
+
+// Field is one header field as it came.
+type Field struct{ Name, Value string }
+
+// Head is a parsed message head. Requests have Method and Target, responses Status.
+type Head struct {
+	Method, Target string
+	Status         int
+	Fields         []Field
+	KeepAlive      bool
+}
+
+// Get returns a field's value and how often it occurs.
+func (h *Head) Get(name string) (value string, times int) {
+	for i := range h.Fields {
+		if strings.EqualFold(h.Fields[i].Name, name) {
+			value = h.Fields[i].Value
+			times++
+		}
+	}
+	return value, times
+}
+
+// has reports whether a comma-separated field holds a token.
+func (h *Head) has(name, token string) bool {
+	for i := range h.Fields {
+		if !strings.EqualFold(h.Fields[i].Name, name) {
+			continue
+		}
+		for item := range strings.SplitSeq(h.Fields[i].Value, ",") {
+			if strings.EqualFold(strings.TrimSpace(item), token) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Hop reports whether a field speaks of this connection only and must not be passed on.
+func (h *Head) Hop(name string) bool {
+	for _, hop := range [...]string{"Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer",
+		"Transfer-Encoding", "Upgrade", "Content-Length", "Expect"} {
+		if strings.EqualFold(hop, name) {
+			return true
+		}
+	}
+	return h.has("Connection", name)
+}
+
+// parseHead reads a head without its last empty line.
+func parseHead(raw []byte, response bool) (*Head, *Fault) {
+	line, rest, _ := bytes.Cut(raw, []byte("\r\n"))
+	h := &Head{}
+	parse := h.requestLine
+	if response {
+		parse = h.statusLine
+	}
+	minor, fault := parse(string(line))
+	if fault != nil {
+		return nil, fault
+	}
+	for len(rest) > 0 {
+		line, rest, _ = bytes.Cut(rest, []byte("\r\n"))
+		if len(h.Fields) == maxFields {
+			return nil, &Fault{431, "too many header fields"}
+		}
+		if fault := h.field(string(line)); fault != nil {
+			return nil, fault
+		}
+	}
+	h.KeepAlive = !h.has("Connection", "close") && (minor == 1 || h.has("Connection", "keep-alive"))
+	if _, hosts := h.Get("Host"); !response && (hosts > 1 || hosts == 0 && minor == 1) {
+		return nil, bad("a request needs one Host")
+	}
+	return h, nil
+}
+
+func (h *Head) field(line string) *Fault {
+	name, value, ok := strings.Cut(line, ":")
+	if !ok || !token(name) {
+		return bad("malformed header field")
+	}
+	value = strings.Trim(value, " \t")
+	if !text(value) {
+		return bad("header field with control characters")
+	}
+	h.Fields = append(h.Fields, Field{name, value})
+	return nil
+}
+
+func version(s string) (minor int, ok bool) {
+	switch s {
+	case "HTTP/1.1":
+		return 1, true
+	case "HTTP/1.0":
+		return 0, true
+	}
+	return 0, false
+}
+
+func (h *Head) requestLine(line string) (int, *Fault) {
+	parts := strings.Split(line, " ")
+	if len(parts) != 3 || !token(parts[0]) || !strings.HasPrefix(parts[1], "/") || !visible(parts[1]) {
+		return 0, bad("malformed request line")
+	}
+	minor, ok := version(parts[2])
+	if !ok {
+		return 0, &Fault{505, "not HTTP/1.0 or HTTP/1.1"}
+	}
+	h.Method, h.Target = parts[0], parts[1]
+	return minor, nil
+}
+
+func (h *Head) statusLine(line string) (int, *Fault) {
+	v, rest, _ := strings.Cut(line, " ")
+	code, _, _ := strings.Cut(rest, " ")
+	minor, ok := version(v)
+	if !ok || len(code) != 3 {
+		return 0, bad("malformed status line")
+	}
+	n, ok := decimal(code, 999)
+	if !ok || n < 100 {
+		return 0, bad("malformed status")
+	}
+	h.Status = int(n)
+	return minor, nil
+}
+
+// decimal reads digits only: no sign, no space, no overflow past most.
+func decimal(s string, most int64) (int64, bool) {
+	n := int64(0)
+	for i := range len(s) {
+		if s[i] < '0' || s[i] > '9' {
+			return 0, false
+		}
+		if n = n*10 + int64(s[i]-'0'); n > most {
+			return most + 1, true
+		}
+	}
+	return n, len(s) > 0
+}
+
+func token(s string) bool {
+	for i := range len(s) {
+		c := s[i]
+		if c <= ' ' || c >= 0x7f || strings.IndexByte(`"(),/:;<=>?@[\]{}`, c) >= 0 {
+			return false
+		}
+	}
+	return s != ""
+}
+
+func visible(s string) bool {
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+func text(s string) bool {
+	for i := range len(s) {
+		if s[i] < ' ' && s[i] != '\t' || s[i] == 0x7f {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/http1/write.go
@@ -0,0 +1,75 @@
+package http1
+
+import "strconv"
+
+// AppendRequest writes a request. body may be nil; a length is stated for every method that may have one.
+func AppendRequest(dst []byte, method, target string, fields []Field, body []byte) []byte {
+	dst = append(dst, method...)
+	dst = append(dst, ' ')
+	dst = append(dst, target...)
+	dst = append(dst, " HTTP/1.1\r\n"...)
+	dst = appendFields(dst, fields)
+	if len(body) > 0 || method != "GET" && method != "HEAD" {
+		dst = appendLength(dst, len(body))
+	}
+	dst = append(dst, "\r\n"...)
+	return append(dst, body...)
+}
+
+// AppendResponse writes a response.
+func AppendResponse(dst []byte, status int, fields []Field, body []byte, keepAlive bool) []byte {
+	dst = append(dst, "HTTP/1.1 "...)
+	dst = strconv.AppendInt(dst, int64(status), 10)
+	dst = append(dst, ' ')
+	dst = append(dst, reason(status)...)
+	dst = append(dst, "\r\n"...)
+	dst = appendFields(dst, fields)
+	dst = appendLength(dst, len(body))
+	if !keepAlive {
+		dst = append(dst, "Connection: close\r\n"...)
+	}
+	dst = append(dst, "\r\n"...)
+	return append(dst, body...)
+}
+
+func appendFields(dst []byte, fields []Field) []byte {
+	for _, f := range fields {
+		dst = append(dst, f.Name...)
+		dst = append(dst, ": "...)
+		dst = append(dst, f.Value...)
+		dst = append(dst, "\r\n"...)
+	}
+	return dst
+}
+
+func appendLength(dst []byte, n int) []byte {
+	dst = append(dst, "Content-Length: "...)
+	dst = strconv.AppendInt(dst, int64(n), 10)
+	return append(dst, "\r\n"...)
+}
+
+func reason(status int) string {
+	switch status {
+	case 200:
+		return "OK"
+	case 400:
+		return "Bad Request"
+	case 404:
+		return "Not Found"
+	case 408:
+		return "Request Timeout"
+	case 413:
+		return "Content Too Large"
+	case 431:
+		return "Request Header Fields Too Large"
+	case 501:
+		return "Not Implemented"
+	case 502:
+		return "Bad Gateway"
+	case 503:
+		return "Service Unavailable"
+	case 505:
+		return "HTTP Version Not Supported"
+	}
+	return "Answer"
+}
--- /dev/null
+++ b/internal/loop/loop.go
@@ -0,0 +1,213 @@
+package loop
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"os/signal"
+
+	"golang.org/x/sys/unix"
+)
+
+// Sizes of one turn of the loop.
+const (
+	readSize   = 64 << 10
+	mostReady  = 256
+	mostAccept = 64 // sockets accepted before others get a turn
+	backlog    = 1024
+)
+
+// socket is one non-blocking socket.
+type socket struct {
+	conn       Conn
+	fd         int
+	connecting bool
+	muted      bool
+	urgent     bool
+	armed      uint32 // events that epoll watches for
+	out        []byte // accepted for writing and not yet written
+}
+
+// Loop owns the sockets and timers.
+type Loop struct {
+	clock    Clock
+	epoll    int
+	wake     int // an eventfd, written when a signal came
+	byConn   map[Conn]*socket
+	byFD     map[int]*socket
+	accepted Conn
+	timers   timers
+	queue    []Event // told before anything else
+	buf      []byte
+	ready    []unix.EpollEvent
+	again    bool
+	exit     bool
+	failed   error
+}
+
+// New opens the loop and its listening socket.
+func New(clock Clock, listen netip.AddrPort) (*Loop, error) {
+	l := &Loop{clock: clock, byConn: make(map[Conn]*socket), byFD: make(map[int]*socket), accepted: firstAccepted,
+		timers: timers{byKey: make(map[Timer]*entry)}, buf: make([]byte, readSize),
+		ready: make([]unix.EpollEvent, mostReady)}
+	var err error
+	if l.epoll, err = unix.EpollCreate1(unix.EPOLL_CLOEXEC); err != nil {
+		return nil, fmt.Errorf("epoll: %w", err)
+	}
+	if l.wake, err = unix.Eventfd(0, unix.EFD_NONBLOCK|unix.EFD_CLOEXEC); err != nil {
+		return nil, fmt.Errorf("eventfd: %w", err)
+	}
+	event := unix.EpollEvent{Events: unix.EPOLLIN, Fd: int32(l.wake)}
+	if err := unix.EpollCtl(l.epoll, unix.EPOLL_CTL_ADD, l.wake, &event); err != nil {
+		return nil, fmt.Errorf("epoll: %w", err)
+	}
+	return l, l.listen(listen)
+}
+
+func (l *Loop) listen(at netip.AddrPort) error {
+	fd, err := open(at)
+	if err != nil {
+		return fmt.Errorf("listen on %v: %w", at, err)
+	}
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
+		return fmt.Errorf("listen on %v: %w", at, err)
+	}
+	if err := unix.Bind(fd, sockaddr(at)); err != nil {
+		return fmt.Errorf("listen on %v: %w", at, err)
+	}
+	if err := unix.Listen(fd, backlog); err != nil {
+		return fmt.Errorf("listen on %v: %w", at, err)
+	}
+	l.add(&socket{conn: Listener, fd: fd})
+	return nil
+}
+
+// NotifyStop tells the reducer Stop once one of the signals comes.
+func (l *Loop) NotifyStop(signals ...os.Signal) {
+	came := make(chan os.Signal, 1)
+	signal.Notify(came, signals...)
+	go func() {
+		<-came
+		one := [8]byte{1}
+		_, _ = unix.Write(l.wake, one[:]) // an eventfd takes eight bytes whole
+	}()
+}
+
+// Run tells the reducer what happens until it asks for Exit. Sockets come before timers: an answer that lies
+// in a socket already must not be overtaken by its own time-out.
+func (l *Loop) Run(r Reducer) error {
+	l.tell(Event{Kind: Start})
+	l.drain(r)
+	for !l.exit {
+		wait := l.timers.wait(l.clock.Now())
+		if l.again {
+			wait = 0
+		}
+		l.again = false
+		n, err := unix.EpollWait(l.epoll, l.ready, wait)
+		if err != nil && !errors.Is(err, unix.EINTR) {
+			return fmt.Errorf("epoll: %w", err)
+		}
+		for _, urgent := range [2]bool{true, false} {
+			for _, e := range l.ready[:max(n, 0)] {
+				if s := l.byFD[int(e.Fd)]; s != nil && s.urgent == urgent {
+					l.happened(s, e.Events)
+					l.drain(r)
+				} else if int(e.Fd) == l.wake && urgent {
+					l.signalled()
+					l.drain(r)
+				}
+			}
+		}
+		for now := l.clock.Now(); ; {
+			key, due := l.timers.due(now)
+			if !due {
+				break
+			}
+			l.tell(Event{Kind: TimerDue, Timer: key})
+			l.drain(r)
+		}
+		l.tell(Event{Kind: Turn})
+		l.drain(r)
+	}
+	return l.failed
+}
+
+// tell queues an event. Effects never call the reducer: what they bring about is told after them.
+func (l *Loop) tell(e Event) { l.queue = append(l.queue, e) }
+
+func (l *Loop) drain(r Reducer) {
+	for i := 0; i < len(l.queue); i++ {
+		for _, f := range r.Step(l.clock.Now(), l.queue[i]) {
+			l.do(f)
+		}
+	}
+	clear(l.queue)
+	l.queue = l.queue[:0]
+}
+
+func (l *Loop) signalled() {
+	var count [8]byte
+	_, _ = unix.Read(l.wake, count[:]) // empties it; nothing else reads it
+	l.tell(Event{Kind: Stop})
+}
+
+// happened turns what epoll says of a socket into events.
+func (l *Loop) happened(s *socket, events uint32) {
+	if s.connecting {
+		l.finishDial(s)
+		return
+	}
+	if events&unix.EPOLLOUT != 0 {
+		l.flush(s)
+	}
+	if events&(unix.EPOLLIN|unix.EPOLLHUP|unix.EPOLLERR|unix.EPOLLRDHUP) != 0 && l.byConn[s.conn] == s {
+		l.tell(Event{Kind: Readable, Conn: s.conn})
+	}
+}
+
+func (l *Loop) do(f Effect) {
+	switch f.Op {
+	case Dial:
+		l.dial(f)
+		return
+	case SetTimer:
+		l.timers.set(f.Timer, f.At)
+		return
+	case StopTimer:
+		l.timers.stop(f.Timer)
+		return
+	case Again:
+		l.again = true
+		return
+	case Exit:
+		l.exit, l.failed = true, f.Failed
+		return
+	}
+	s := l.byConn[f.Conn]
+	if s == nil {
+		return // closed meanwhile: its end has been told
+	}
+	switch f.Op {
+	case Accept:
+		l.accept(s)
+	case Read:
+		l.read(s)
+	case Write:
+		l.write(s, f.Data)
+	case WriteQuiet:
+		if !quiet(s.fd) {
+			l.tell(Event{Kind: Stale, Conn: s.conn})
+			return
+		}
+		l.write(s, f.Data)
+	case Shutdown:
+		_ = unix.Shutdown(s.fd, unix.SHUT_WR) // a socket that is broken already tells so when read
+	case Close:
+		l.remove(s)
+	case Mute, Unmute:
+		s.muted = f.Op == Mute
+		l.arm(s)
+	}
+}
--- /dev/null
+++ b/internal/loop/sockets.go
@@ -0,0 +1,176 @@
+package loop
+
+import (
+	"errors"
+	"net/netip"
+
+	"golang.org/x/sys/unix"
+)
+
+func open(at netip.AddrPort) (int, error) {
+	family := unix.AF_INET
+	if at.Addr().Is6() {
+		family = unix.AF_INET6
+	}
+	return unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+}
+
+func sockaddr(at netip.AddrPort) unix.Sockaddr {
+	if at.Addr().Is6() {
+		return &unix.SockaddrInet6{Port: int(at.Port()), Addr: at.Addr().As16()}
+	}
+	return &unix.SockaddrInet4{Port: int(at.Port()), Addr: at.Addr().As4()}
+}
+
+// noDelay sends small messages at once. A socket that refuses the option still works.
+func noDelay(fd int) { _ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1) }
+
+func (l *Loop) add(s *socket) {
+	l.byConn[s.conn], l.byFD[s.fd] = s, s
+	s.armed = s.wanted()
+	event := unix.EpollEvent{Events: s.armed, Fd: int32(s.fd)}
+	if err := unix.EpollCtl(l.epoll, unix.EPOLL_CTL_ADD, s.fd, &event); err != nil {
+		l.fail(s, err)
+	}
+}
+
+func (s *socket) wanted() uint32 {
+	switch {
+	case s.connecting:
+		return unix.EPOLLOUT
+	case s.muted && len(s.out) > 0:
+		return unix.EPOLLOUT
+	case s.muted:
+		return 0
+	case len(s.out) > 0:
+		return unix.EPOLLIN | unix.EPOLLOUT
+	default:
+		return unix.EPOLLIN
+	}
+}
+
+func (l *Loop) arm(s *socket) {
+	want := s.wanted()
+	if want == s.armed {
+		return
+	}
+	s.armed = want
+	event := unix.EpollEvent{Events: want, Fd: int32(s.fd)}
+	if err := unix.EpollCtl(l.epoll, unix.EPOLL_CTL_MOD, s.fd, &event); err != nil {
+		l.fail(s, err)
+	}
+}
+
+func (l *Loop) remove(s *socket) {
+	delete(l.byConn, s.conn)
+	delete(l.byFD, s.fd)
+	_ = unix.Close(s.fd) // leaves epoll with it; the descriptor is gone whatever close says
+}
+
+// fail ends a socket and tells why.
+func (l *Loop) fail(s *socket, err error) {
+	l.remove(s)
+	l.tell(Event{Kind: Broken, Conn: s.conn, Err: err})
+}
+
+// accept takes what waits at the listener. Out of descriptors, it tells so: the reducer mutes the listener, or
+// epoll would report it without end.
+func (l *Loop) accept(s *socket) {
+	for range mostAccept {
+		fd, _, err := unix.Accept4(s.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		switch {
+		case err == nil:
+			noDelay(fd)
+			l.accepted++
+			l.add(&socket{conn: l.accepted, fd: fd})
+			l.tell(Event{Kind: Accepted, Conn: l.accepted})
+		case errors.Is(err, unix.EAGAIN):
+			l.tell(Event{Kind: Drained, Conn: s.conn})
+			return
+		case errors.Is(err, unix.ECONNABORTED), errors.Is(err, unix.EINTR):
+		default:
+			l.tell(Event{Kind: AcceptFailed, Conn: s.conn, Err: err})
+			return
+		}
+	}
+}
+
+func (l *Loop) dial(f Effect) {
+	fd, err := open(f.Addr)
+	if err != nil {
+		l.tell(Event{Kind: Broken, Conn: f.Conn, Err: err})
+		return
+	}
+	noDelay(fd)
+	s := &socket{conn: f.Conn, fd: fd, connecting: true, urgent: f.Urgent}
+	err = unix.Connect(fd, sockaddr(f.Addr))
+	if err != nil && !errors.Is(err, unix.EINPROGRESS) {
+		_ = unix.Close(fd) // never connected
+		l.tell(Event{Kind: Broken, Conn: f.Conn, Err: err})
+		return
+	}
+	l.add(s)
+}
+
+func (l *Loop) finishDial(s *socket) {
+	code, err := unix.GetsockoptInt(s.fd, unix.SOL_SOCKET, unix.SO_ERROR)
+	if err == nil && code != 0 {
+		err = unix.Errno(code)
+	}
+	if err != nil {
+		l.fail(s, err)
+		return
+	}
+	s.connecting = false
+	l.arm(s)
+	l.tell(Event{Kind: Connected, Conn: s.conn})
+}
+
+// read tells one buffer of what has come. The next Readable brings the rest.
+func (l *Loop) read(s *socket) {
+	n, err := unix.Read(s.fd, l.buf)
+	switch {
+	case errors.Is(err, unix.EAGAIN), errors.Is(err, unix.EINTR):
+		l.tell(Event{Kind: Drained, Conn: s.conn})
+	case err != nil:
+		l.fail(s, err)
+	case n == 0:
+		l.tell(Event{Kind: EOF, Conn: s.conn})
+	default:
+		l.tell(Event{Kind: Data, Conn: s.conn, Data: l.buf[:n]})
+	}
+}
+
+// write sends what it can now and keeps the rest until the socket takes it.
+func (l *Loop) write(s *socket, data []byte) {
+	waiting := len(s.out) > 0
+	s.out = append(s.out, data...)
+	if !waiting {
+		l.flush(s)
+	}
+}
+
+func (l *Loop) flush(s *socket) {
+	for len(s.out) > 0 {
+		n, err := unix.SendmsgN(s.fd, s.out, nil, nil, unix.MSG_NOSIGNAL)
+		if errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR) {
+			l.arm(s)
+			return
+		}
+		if err != nil {
+			l.fail(s, err)
+			return
+		}
+		s.out = s.out[:copy(s.out, s.out[n:])]
+	}
+	l.arm(s)
+	l.tell(Event{Kind: Flushed, Conn: s.conn})
+}
+
+// quiet reports whether an idle peer has neither spoken nor left. Guards against sending a request on a link
+// whose end has arrived since epoll was last asked: the request would end as a reset.
+func quiet(fd int) bool {
+	var one [1]byte
+	_, _, err := unix.Recvfrom(fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return errors.Is(err, unix.EAGAIN)
+}
--- /dev/null
+++ b/internal/loop/types.go
@@ -0,0 +1,104 @@
+// Package loop is the edge of the program: one epoll loop that owns every socket and timer, tells a reducer
+// what happened and carries out the effects that it asks for. It knows no peer and keeps no protocol.
+package loop
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Conn names a socket. A number is never used twice, so that news of a closed socket cannot reach a later one.
+type Conn uint64
+
+// Listener is the socket that clients connect to. Accepted sockets are numbered by the loop from firstAccepted
+// on, dialled ones by the reducer from below it.
+const (
+	Listener      Conn = 0
+	firstAccepted Conn = 1 << 63
+)
+
+// Timer names a timer by what it is for and whom. Setting it again moves it.
+type Timer struct {
+	Kind uint8
+	ID   uint64
+}
+
+// Kind says what an event tells.
+type Kind uint8
+
+// The events. Data, Drained, EOF and Broken answer a Read; Flushed and Broken answer a Write; Connected and
+// Broken answer a Dial; Stale answers a WriteQuiet on a socket whose peer has spoken or left meanwhile.
+const (
+	Readable Kind = iota
+	Accepted
+	AcceptFailed
+	Connected
+	Data
+	Drained
+	EOF
+	Broken
+	Flushed
+	Stale
+	TimerDue
+	Start // once, before anything else
+	Stop
+	Turn // all that was ready has been told
+)
+
+// Event is one thing that happened. Data is valid only while the reducer handles it.
+type Event struct {
+	Kind  Kind
+	Conn  Conn
+	Timer Timer
+	Data  []byte
+	Err   error
+}
+
+// Op says what an effect does.
+type Op uint8
+
+// The effects. Mute stops Readable events of a socket until Unmute. Again asks for one more Turn at once.
+const (
+	Accept Op = iota
+	Dial
+	Read
+	Write
+	WriteQuiet
+	Shutdown
+	Close
+	Mute
+	Unmute
+	SetTimer
+	StopTimer
+	Again
+	Exit
+)
+
+// Effect is one thing that the reducer wants done. Data is written or copied before the next Step.
+type Effect struct {
+	Op     Op
+	Conn   Conn
+	Urgent bool // with Dial: its news are told before those of other sockets
+	Addr   netip.AddrPort
+	Data   []byte
+	Timer  Timer
+	At     time.Duration
+	Failed error // with Exit: what the program could not start for
+}
+
+// Reducer holds all state. Step takes one event and returns the effects, valid until the next Step.
+type Reducer interface {
+	Step(now time.Duration, e Event) []Effect
+}
+
+// Clock is the one clock of the program: Unix time at its start plus what has passed since on the monotonic
+// clock. It never goes back, and Unix times of other machines need no conversion.
+type Clock struct{ start time.Time }
+
+// NewClock starts a clock.
+func NewClock() Clock { return Clock{start: time.Now()} }
+
+// Now is the time.
+func (c Clock) Now() time.Duration {
+	return time.Duration(c.start.UnixNano()) + time.Since(c.start)
+}
--- /dev/null
+++ b/internal/servers/answer.go
@@ -0,0 +1,62 @@
+// Package servers speaks to the hosts: server links and their reuse, requests as hosts get them, answers and
+// load reports as they come back.
+package servers
+
+import (
+	"strconv"
+	"strings"
+
+	"passfold/internal/http1"
+)
+
+// The header fields of this peer.
+const (
+	fieldDeadline = "X-Expires-In"
+	fieldNeverRan = "X-Never-Ran"
+	fieldLoad     = "Endpoint-Load-Metrics"
+)
+
+// Answer is a host's whole answer.
+type Answer struct {
+	*http1.Message
+	NeverRan bool // the host says that the request did not run
+	Reported bool // the answer carries the requests waiting
+	Waiting  float64
+}
+
+func read(m *http1.Message) *Answer {
+	a := &Answer{Message: m}
+	flag, _ := m.Get(fieldNeverRan)
+	a.NeverRan = flag == "1"
+	report, _ := m.Get(fieldLoad)
+	a.Waiting, a.Reported = waiting(report)
+	return a
+}
+
+// waiting finds the requests waiting in a load report such as 'TEXT inflight=7, queue=2'.
+func waiting(report string) (float64, bool) {
+	list, ok := strings.CutPrefix(report, "TEXT ")
+	if !ok {
+		return 0, false
+	}
+	for item := range strings.SplitSeq(list, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(item), "=")
+		if name != "queue" {
+			continue
+		}
+		v, err := strconv.ParseFloat(value, 64)
+		return v, err == nil && v >= 0 && v < 1e9
+	}
+	return 0, false
+}
+
+// Passed are the fields of an answer that go on to the client.
+func (a *Answer) Passed() []http1.Field {
+	passed := make([]http1.Field, 0, len(a.Fields))
+	for _, f := range a.Fields {
+		if !a.Hop(f.Name) && !strings.EqualFold(f.Name, fieldNeverRan) && !strings.EqualFold(f.Name, fieldLoad) {
+			passed = append(passed, f)
+		}
+	}
+	return passed
+}
--- /dev/null
+++ b/internal/servers/pool.go
@@ -0,0 +1,169 @@
+package servers
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"passfold"
+	"passfold/internal/http1"
+	"passfold/internal/loop"
+)
+
+// Phase is how far a server link is.
+type Phase uint8
+
+// A link connects, stands idle, writes a request, and awaits its answer.
+const (
+	Connecting Phase = iota
+	Idle
+	Writing
+	Awaiting
+)
+
+// Link is one server link. It carries one execution at a time.
+type Link struct {
+	Conn   loop.Conn
+	Host   passfold.ServerID
+	Phase  Phase
+	reader http1.Reader
+}
+
+// Feed takes what a host wrote and returns its answer once it is whole.
+func (l *Link) Feed(data []byte) (*Answer, error) {
+	l.reader.Feed(data)
+	m, fault := l.reader.Next()
+	if fault != nil {
+		return nil, fault
+	}
+	if m == nil {
+		return nil, nil
+	}
+	return read(m), nil
+}
+
+// End returns the answer that the end of the host's sending completes, or nil.
+func (l *Link) End() *Answer {
+	if m := l.reader.End(); m != nil {
+		return read(m)
+	}
+	return nil
+}
+
+// Reusable reports whether the link may carry another request after this answer. Bytes past an answer belong
+// to nobody; they must not be taken for the next one.
+func (l *Link) Reusable(a *Answer) bool { return a.KeepAlive && !l.reader.Pending() }
+
+// Pool holds the server links.
+type Pool struct {
+	links map[loop.Conn]*Link
+	idle  map[passfold.ServerID][]*Link // newest last
+	most  int
+	next  loop.Conn
+}
+
+// NewPool returns a pool of at most so many links.
+func NewPool(most int) *Pool {
+	return &Pool{links: make(map[loop.Conn]*Link), idle: make(map[passfold.ServerID][]*Link), most: most}
+}
+
+// Find returns the link of a connection, or nil.
+func (p *Pool) Find(c loop.Conn) *Link { return p.links[c] }
+
+// NextConn names a new connection.
+func (p *Pool) NextConn() loop.Conn {
+	p.next++
+	return p.next
+}
+
+// Full reports whether the budget of descriptors is used up.
+func (p *Pool) Full() bool { return len(p.links) >= p.most }
+
+// Take returns the idle link to a host that was used last, or nil. The newest goes first, so that links that
+// are not needed grow old and are closed.
+func (p *Pool) Take(host passfold.ServerID) *Link {
+	links := p.idle[host]
+	if len(links) == 0 {
+		return nil
+	}
+	l := links[len(links)-1]
+	p.leaveIdle(l)
+	return l
+}
+
+// Open adds a link that connects.
+func (p *Pool) Open(host passfold.ServerID) *Link {
+	l := &Link{Conn: p.NextConn(), Host: host, reader: http1.Reader{Response: true}}
+	p.links[l.Conn] = l
+	return l
+}
+
+// Rest makes a link idle.
+func (p *Pool) Rest(l *Link) {
+	l.Phase = Idle
+	p.idle[l.Host] = append(p.idle[l.Host], l)
+}
+
+// Remove forgets a link.
+func (p *Pool) Remove(l *Link) {
+	p.leaveIdle(l)
+	delete(p.links, l.Conn)
+}
+
+func (p *Pool) leaveIdle(l *Link) {
+	links := p.idle[l.Host]
+	for i, other := range links {
+		if other == l {
+			copy(links[i:], links[i+1:])
+			links[len(links)-1] = nil
+			p.idle[l.Host] = links[:len(links)-1]
+			break
+		}
+	}
+	if len(p.idle[l.Host]) == 0 {
+		delete(p.idle, l.Host)
+	}
+}
+
+// IdleTo returns the idle links to a host, oldest first.
+func (p *Pool) IdleTo(host passfold.ServerID) []*Link { return append([]*Link(nil), p.idle[host]...) }
+
+// ConnectingTo returns the links to a host that are not up yet, oldest first.
+func (p *Pool) ConnectingTo(host passfold.ServerID) []*Link {
+	var found []*Link
+	for _, l := range p.links {
+		if l.Host == host && l.Phase == Connecting {
+			found = append(found, l)
+		}
+	}
+	slices.SortFunc(found, func(a, b *Link) int { return cmp.Compare(a.Conn, b.Conn) })
+	return found
+}
+
+// Oldest returns the idle link that was opened first, or nil: the one to close where the budget is short.
+func (p *Pool) Oldest() *Link {
+	var oldest *Link
+	for _, links := range p.idle {
+		for _, l := range links {
+			if oldest == nil || l.Conn < oldest.Conn {
+				oldest = l
+			}
+		}
+	}
+	return oldest
+}
+
+// AppendRequest words a client's request for a host: unchanged but for the fields of the connection and the
+// time that is left.
+func AppendRequest(dst []byte, m *http1.Message, left time.Duration) []byte {
+	fields := make([]http1.Field, 0, len(m.Fields)+1)
+	for _, f := range m.Fields {
+		if !m.Hop(f.Name) && !strings.EqualFold(f.Name, fieldDeadline) {
+			fields = append(fields, f)
+		}
+	}
+	fields = append(fields, http1.Field{Name: fieldDeadline, Value: strconv.FormatInt(max(left.Milliseconds(), 1), 10) + "m"})
+	return http1.AppendRequest(dst, m.Method, m.Target, fields, m.Body)
+}
--- a/internal/wire/settings.go
+++ b/internal/settings/settings.go
@@ -1,9 +1,11 @@
-// Package wire speaks the binary dialect of the gateway's wire: it reads batches of events, writes
-// replies of actions, and turns the settings text into a passfold.Config. It takes no decisions.
-package wire
+// Package settings translates a deployment's settings, from the wire's path=value text or from JSON, into
+// the module's Config and into what the gateway itself needs of them. It is the only translation: the
+// simulator and the real gateway must not come to differ in what the module is told.
+package settings
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -12,21 +14,59 @@
 	"passfold"
 )
 
-// settings is the path=value text of a start event. Reading a value remembers the first fault.
+// settings holds values by path. Reading a value remembers the first fault.
 type settings struct {
 	values map[string]string
 	err    error
 }
 
-// ParseSettings builds the module's Config. Unknown keys are ignored, optional ones have defaults, and a
-// missing or unreadable required one is named in the error.
-func ParseSettings(text string) (passfold.Config, error) {
+// Settings is what the settings say, translated.
+type Settings struct {
+	Config  passfold.Config
+	Gateway Gateway
+}
+
+// Gateway is what the gateway itself needs of the settings, beside the module.
+type Gateway struct {
+	Zones          []string      // the zone names; a zone is known by its place
+	ConnectTimeout time.Duration // a connection not up by then has failed
+	ConnIdle       time.Duration // a host closes a connection idle for this long
+	MostOpen       int           // requests held open at once
+	Waiting        int           // column of the load reports with the requests waiting; -1 if there is none
+}
+
+// Parse reads the path=value text of a start event. Unknown keys are ignored, optional ones have defaults,
+// and a missing or unreadable required one is named in the error.
+func Parse(text string) (Settings, error) {
 	s := settings{values: make(map[string]string)}
 	for _, line := range strings.Split(text, "\n") {
 		if path, value, ok := strings.Cut(strings.TrimSpace(line), "="); ok {
 			s.values[path] = value
 		}
 	}
+	return s.translate()
+}
+
+func (s *settings) translate() (Settings, error) {
+	c := s.config()
+	g := Gateway{
+		Zones:          s.list("zones"),
+		ConnectTimeout: s.millis("bounds.connect_timeout_ms", 1000, false),
+		ConnIdle:       s.millis("bounds.conn_idle_ms", 30000, false),
+		MostOpen:       s.integer("bounds.open_cap", 1<<20, false),
+		Waiting:        slices.Index(s.list("report.columns"), "pending"),
+	}
+	return Settings{Config: c, Gateway: g}, s.err
+}
+
+func (s *settings) list(path string) []string {
+	if s.values[path] == "" {
+		return nil
+	}
+	return strings.Split(s.values[path], ",")
+}
+
+func (s *settings) config() passfold.Config {
 	c := passfold.Config{
 		Gateways:       s.integer("balancers", 1, true),
 		Rank:           s.integer("rank", 0, false),
@@ -64,17 +104,7 @@
 			break
 		}
 	}
-	return c, s.err
-}
-
-// WaitingColumn is the place of the requests waiting in the site's load reports, or -1 if they lack it.
-func WaitingColumn(text string) int {
-	for _, line := range strings.Split(text, "\n") {
-		if names, ok := strings.CutPrefix(strings.TrimSpace(line), "report.columns="); ok {
-			return slices.Index(strings.Split(names, ","), "pending")
-		}
-	}
-	return -1
+	return c
 }
 
 func (s *settings) class(p string) passfold.Class {
@@ -138,7 +168,7 @@
 }
 
 func (s *settings) millis(path string, missing float64, required bool) time.Duration {
-	return millis(s.number(path, missing, required))
+	return Millis(s.number(path, missing, required))
 }
 
 func (s *settings) flag(path string) bool {
@@ -158,3 +188,8 @@
 	s.fault("%s=%q is none of %s", path, text, strings.Join(known, ", "))
 	return missing
 }
+
+// Millis is a time stated in milliseconds, rounded to microseconds.
+func Millis(v float64) time.Duration {
+	return time.Duration(math.Round(v*1000)) * time.Microsecond
+}
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -1,3 +1,5 @@
+// Package wire speaks the binary dialect of the simulator's wire: it reads batches of events and writes
+// replies of actions. It takes no decisions.
 package wire
 
 import (
@@ -9,6 +11,7 @@
 	"time"
 
 	"passfold"
+	"passfold/internal/settings"
 )
 
 // Sizes of the frame parts, in bytes.
@@ -62,10 +65,6 @@
 	0: passfold.ListCached, 1: passfold.ListFailed, 2: passfold.ListDelta, 3: passfold.ListFull,
 }
 
-func millis(v float64) time.Duration {
-	return time.Duration(math.Round(v*1000)) * time.Microsecond
-}
-
 // Reader reads batches from a stream and reuses its buffer.
 type Reader struct {
 	in      io.Reader
@@ -129,7 +128,7 @@
 	if end > int64(len(frame)) {
 		return Batch{}, fmt.Errorf("batch: %d records need %d bytes, the frame has %d", count, end, len(frame))
 	}
-	return Batch{Now: millis(clock), records: frame[batchHeader:end], tail: frame[end:], servers: servers,
+	return Batch{Now: settings.Millis(clock), records: frame[batchHeader:end], tail: frame[end:], servers: servers,
 		inst: -1}, nil
 }
 
@@ -190,7 +189,7 @@
 	if !(v > -1e12 && v < 1e12) {
 		return 0, fmt.Errorf("%s %v is not a usable time", name, v)
 	}
-	return millis(v), nil
+	return settings.Millis(v), nil
 }
 
 func host(rec []byte) passfold.ServerID {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"passfold"
+	"passfold/internal/settings"
 )
 
 // frame builds a batch from records, each padded to its size, and a tail.
@@ -202,7 +203,8 @@
 `
 
 func TestParseSettings(t *testing.T) {
-	c, err := ParseSettings(settingsText)
+	set, err := settings.Parse(settingsText)
+	c := set.Config
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -221,7 +223,8 @@
 		"report.columns=pending,svc_ms\n": 0, "zone=1\nreport.columns=svc_ms,pending": 1,
 		"report.columns=svc_ms,busy_reqs": -1, "report.columns=": -1, "": -1,
 	} {
-		if got := WaitingColumn(text); got != want {
+		set, _ := settings.Parse(text) // the rest of the settings is missing
+		if got := set.Gateway.Waiting; got != want {
 			t.Errorf("%q: column %d, want %d", text, got, want)
 		}
 	}
@@ -254,7 +257,7 @@
 		`bounds.cancel="si" is none of`:       {"cancel=true", "cancel=si"},
 		"classes.2.aim_ms is missing":         {"classes.count=2", "classes.count=1000000"},
 	} {
-		_, err := ParseSettings(strings.Replace(settingsText, edit[0], edit[1], 1))
+		_, err := settings.Parse(strings.Replace(settingsText, edit[0], edit[1], 1))
 		if err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("err = %v, want %q in it", err, want)
 		}
@@ -277,7 +280,7 @@
 		}
 		for _, e := range events {
 			if e.Kind == Start {
-				if _, err := ParseSettings(e.Settings); err != nil && strings.Contains(err.Error(), "\n") {
+				if _, err := settings.Parse(e.Settings); err != nil && strings.Contains(err.Error(), "\n") {
 					t.Error("a fault of more than one line")
 				}
 			}
