Keep one socket's news from another, empty the backlog at a stop; process tests

A link accepted then had 90 s to speak and held up the exit. - begin looked a host up without a check after a stale link. Checked: tests that start the program and play its peers: reuse, bad input, unsafe work, late answers, drains, watch, stop, descriptors, configuration. A watch test hung once: the fake discovery's dead watch took the line meant for the live one; the fault was the test's.

--- /dev/null
+++ b/cmd/thymebend/life_test.go
@@ -0,0 +1,174 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os/exec"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+func TestDrainedHostGetsNothingNew(t *testing.T) {
+	a, b := newHost(t, "s-1", ok), newHost(t, "s-2", ok)
+	g := start(t, nil, a, b)
+	<-g.disc.calls
+	g.disc.tell <- list(2, false, entry(a, "draining"))
+	g.disc.tell <- list(3, false) // taken once the one before has been
+	c := g.dial()
+	ask(t, c, view("first", 900))
+	_, before, _ := a.seen()
+	for i := range 8 {
+		if status, _, _ := ask(t, c, view(fmt.Sprint("v", i), 900)); status != 200 {
+			t.Errorf("view: %d", status)
+		}
+	}
+	if _, after, _ := a.seen(); after != before {
+		t.Errorf("%d executions went to a host that drains", after-before)
+	}
+}
+
+// A host told gone while an execution still connects to it gets no byte; the query goes elsewhere.
+func TestHostGoneWhileConnecting(t *testing.T) {
+	gone, live := newHost(t, "s-1", ok), newHost(t, "s-2", ok)
+	full := fullListener(t)
+	gone.ln = full
+	whole := list(1, true, entry(gone, "up"))
+	g := startWith(t, map[string]any{"settings": settingsWith(`"connect_timeout_ms":250`, `"connect_timeout_ms":5000`)},
+		whole, newDiscovery(t, func(int) string { return whole }))
+	<-g.disc.calls
+	c := g.dial()
+	if _, err := io.WriteString(c, view("v", 1900)); err != nil {
+		t.Fatal(err)
+	}
+	g.disc.tell <- list(2, false, entry(gone, "removed"), entry(live, "up"))
+	if status, _, body := answer(c); status != 200 || body != "v:" {
+		t.Errorf("%d %q, want the answer of the host that is left", status, body)
+	}
+}
+
+// The list goes on being asked for when discovery refuses, cuts the watch, or writes what is no list.
+func TestWatchIsAskedAgain(t *testing.T) {
+	h := newHost(t, "s-1", ok)
+	whole := list(7, true, entry(h, "up"))
+	lines := []string{"", "{broken", whole, whole}
+	d := newDiscovery(t, func(n int) string { return lines[min(n, len(lines))-1] })
+	g := startWith(t, nil, whole, d)
+	for n := range 3 {
+		if call := <-d.calls; n == 0 && call != "/v1/servers?stream=1&index=7" {
+			t.Errorf("the first watch asks %q, want the changes after the known list", call)
+		}
+	}
+	d.tell <- "cut"
+	<-d.calls
+	if status, _, _ := ask(t, g.dial(), view("v", 900)); status != 200 {
+		t.Errorf("view: %d", status)
+	}
+}
+
+// A watch that misses its beat is given up: its machine may have vanished without a word.
+func TestSilentWatchIsGivenUp(t *testing.T) {
+	h := newHost(t, "s-1", ok)
+	ln := listen(t)
+	var calls atomic.Int32
+	go each(ln, func(c net.Conn) {
+		calls.Add(1)
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
+		_, _ = io.Copy(io.Discard, c)
+	})
+	startWith(t, nil, list(1, true, entry(h, "up")), &discovery{ln: ln})
+	until(t, "a second watch", func() bool { return calls.Load() >= 2 })
+}
+
+func TestStopAnswersAllThatWasTaken(t *testing.T) {
+	release := make(chan bool)
+	h := newHost(t, "s-1", func(c net.Conn, r *http.Request, body string) {
+		if r.Header.Get("X-Trace-Id") == "held" {
+			<-release
+		}
+		ok(c, r, body)
+	})
+	b := newHost(t, "s-2", h.answer)
+	g := start(t, nil, h, b)
+	held, idle := g.dial(), g.dial()
+	if status, _, _ := ask(t, idle, view("before", 900)); status != 200 {
+		t.Fatal(status)
+	}
+	if _, err := io.WriteString(held, lodge("held", "x")); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the execution", func() bool {
+		_, x, _ := h.seen()
+		_, y, _ := b.seen()
+		return x+y == 2
+	})
+	if err := g.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the stop to begin", func() bool {
+		_, fields, _ := ask(t, g.dial(), view("after", 900))
+		return fields.Get("Connection") == "close"
+	})
+	if status, fields, _ := ask(t, idle, view("kept", 900)); status != 200 || fields.Get("Connection") != "close" {
+		t.Errorf("on a link from before: %d, Connection %q", status, fields.Get("Connection"))
+	}
+	until(t, "the listener to close", func() bool {
+		c, err := net.Dial("tcp", g.addr)
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	})
+	close(release)
+	if status, fields, body := answer(held); status != 200 || body != "held:x" || fields.Get("Connection") != "close" {
+		t.Errorf("what was in work: %d %q", status, body)
+	}
+	held.Close()
+	if code := g.exit(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+}
+
+// More clients than descriptors: idle links give way, and the program sleeps rather than spins.
+func TestShortOfDescriptors(t *testing.T) {
+	h := newHost(t, "s-1", ok)
+	g := start(t, map[string]any{"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 64}}, h)
+	limit := fmt.Sprintf("--pid=%d", g.cmd.Process.Pid)
+	if out, err := exec.Command("prlimit", limit, "--nofile=40").CombinedOutput(); err != nil {
+		t.Skipf("prlimit: %v %s", err, out)
+	}
+	for range 100 {
+		g.dial()
+	}
+	for i := range 10 {
+		if status, _, _ := ask(t, g.dial(), view(fmt.Sprint("v", i), 1900)); status != 200 {
+			t.Errorf("view %d: %d", i, status)
+		}
+	}
+	if used := processorTime(t, g.cmd.Process.Pid); used > 3*time.Second {
+		t.Errorf("%v of processor time: it spins", used)
+	}
+}
+
+func TestFaultyConfigurationNamesTheField(t *testing.T) {
+	for want, edit := range map[string]map[string]any{
+		"listen":               {"listen": "nowhere"},
+		"discovery":            {"discovery": ""},
+		"seed":                 {"seed": "xyz"},
+		"limits.sockets":       {"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 3}},
+		"limits.memory_mb":     {"limits": map[string]any{"cores": 1, "sockets": 1024}},
+		"classes.count":        {"settings": settingsWith(`"classes"`, `"unknown"`)},
+		"classes.1.give_up_ms": {"settings": settingsWith(`"give_up_ms":2500`, `"give_up_ms":"long"`)},
+		"Deadline":             {"settings": settingsWith(`"give_up_ms":2500`, `"give_up_ms":0`)},
+	} {
+		cmd, _ := configure(t, list(1, true), "127.0.0.1:1", edit)
+		out, err := cmd.CombinedOutput()
+		if err == nil || !strings.Contains(string(out), want) {
+			t.Errorf("%s: err %v, output %s", want, err, out)
+		}
+	}
+}
--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -26,16 +26,12 @@
 	if timeout != 0 {
 		x.until = min(x.until, g.now+timeout)
 	}
-	host := g.group.Find(to)
-	switch {
-	case q.over || x.until <= g.now || x.number >= g.cfg.Settings.Config.MaxAttempts:
+	if q.over || x.until <= g.now || x.number >= g.cfg.Settings.Config.MaxAttempts {
 		g.endExecution(x, EndOver, nil)
-	case host == nil || host.State != passfold.Ready:
-		g.endExecution(x, EndHostLeft, nil)
-	default:
-		g.setTimer(timerExecution, x.id, x.until)
-		g.begin(x)
+		return
 	}
+	g.setTimer(timerExecution, x.id, x.until)
+	g.begin(x)
 }
 
 // Refuse implements passfold.Actions. A refusal goes out at once.
@@ -108,14 +104,11 @@
 
 // tellEnds tells the module the ends that came up while it was busy. What it answers may bring about more.
 func (g *Gateway) tellEnds() {
-	for len(g.ended) > 0 {
-		p := g.ended[0]
-		g.ended = g.ended[1:]
-		g.tellEnd(p)
-	}
-	if len(g.ended) == 0 {
-		g.ended = g.ended[:0]
+	for i := 0; i < len(g.ended); i++ {
+		g.tellEnd(g.ended[i])
 	}
+	clear(g.ended)
+	g.ended = g.ended[:0]
 	if g.lost {
 		g.lost = false
 		g.told = true
--- a/internal/gateway/fromclients.go
+++ b/internal/gateway/fromclients.go
@@ -16,11 +16,15 @@
 func (g *Gateway) listener(e loop.Event) {
 	switch e.Kind {
 	case loop.Readable:
-		if len(g.links.ByConn) >= g.links.Most && !g.evict() {
+		if !g.closed && len(g.links.ByConn) >= g.links.Most && !g.evict() {
 			g.pause()
 			return
 		}
 		g.ask(loop.Effect{Op: loop.Accept, Conn: loop.Listener})
+	case loop.Drained:
+		if g.closed {
+			g.close(loop.Listener)
+		}
 	case loop.AcceptFailed:
 		g.log.Warn().Err(e.Err).Msg("accept")
 		g.evict()
@@ -61,7 +65,11 @@
 
 func (g *Gateway) accepted(c loop.Conn) {
 	g.links.Add(c)
-	g.setTimer(timerClient, uint64(c), g.now+clients.IdleAfter)
+	patience := clients.IdleAfter
+	if g.closed {
+		patience = clients.LingerFor // its request is on the way, or never comes
+	}
+	g.setTimer(timerClient, uint64(c), g.now+patience)
 }
 
 func (g *Gateway) clientEvent(l *clients.Link, e loop.Event) {
@@ -130,7 +138,11 @@
 // take answers a request itself or makes it a query of the module's.
 func (g *Gateway) take(l *clients.Link, m *http1.Message) {
 	l.Timed = false
-	if path, _, _ := strings.Cut(m.Target, "?"); path == clients.HealthPath && m.Method == "GET" {
+	if path, _, _ := strings.Cut(m.Target, "?"); path == clients.HealthPath {
+		if m.Method != "GET" {
+			g.reply(l, clients.Faulty(&http1.Fault{Status: 400, Text: "health is asked for with GET"}, !l.Closing))
+			return
+		}
 		g.reply(l, clients.Health(g.group.Len() > 0 && !g.stopping, !l.Closing))
 		return
 	}
--- a/internal/gateway/fromservers.go
+++ b/internal/gateway/fromservers.go
@@ -12,6 +12,11 @@
 
 // begin writes an execution on an idle link to its host, or opens one.
 func (g *Gateway) begin(x *execution) {
+	host := g.group.Find(x.host)
+	if host == nil || host.State != passfold.Ready {
+		g.endExecution(x, EndHostLeft, nil)
+		return
+	}
 	if l := g.pool.Take(x.host); l != nil {
 		g.stopTimer(timerLink, uint64(l.Conn))
 		g.bind(x, l)
@@ -30,7 +35,7 @@
 	g.bind(x, l)
 	notUp := g.now + g.cfg.Settings.Gateway.ConnectTimeout
 	g.setTimer(timerExecution, x.id, min(x.until, notUp))
-	g.ask(loop.Effect{Op: loop.Dial, Conn: l.Conn, Addr: g.group.Find(x.host).Dial})
+	g.ask(loop.Effect{Op: loop.Dial, Conn: l.Conn, Addr: host.Dial})
 }
 
 func (g *Gateway) bind(x *execution, l *servers.Link) {
@@ -76,7 +81,7 @@
 	answer, err := l.Feed(data)
 	switch {
 	case err != nil:
-		g.log.Warn().Err(err).Msg("answer of a host")
+		g.log.Debug().Err(err).Msg("answer of a host")
 		g.endExecution(x, EndGarbled, nil)
 	case answer != nil:
 		g.answered(x, answer)
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"passfold/internal/clients"
 	"passfold/internal/loop"
 )
 
@@ -29,9 +30,12 @@
 func (g *Gateway) closeListener() {
 	g.closed = true
 	g.ask(loop.Effect{Op: loop.Accept, Conn: loop.Listener})
-	g.close(loop.Listener)
 	for _, l := range g.links.ByConn {
-		if !l.Busy && !l.Pending() {
+		switch {
+		case l.Busy:
+		case l.Pending():
+			g.setTimer(timerClient, uint64(l.Conn), g.now+clients.LingerFor)
+		default:
 			g.lookAndClose(l)
 		}
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -22,6 +22,7 @@
 type socket struct {
 	conn       Conn
 	fd         int
+	gen        int32 // tells it from an earlier socket with the same descriptor
 	connecting bool
 	muted      bool
 	urgent     bool
@@ -37,9 +38,11 @@
 	byConn   map[Conn]*socket
 	byFD     map[int]*socket
 	accepted Conn
+	gen      int32
 	timers   timers
 	queue    []Event // told before anything else
 	buf      []byte
+	bufInUse bool // buf holds data not yet told
 	ready    []unix.EpollEvent
 	again    bool
 	exit     bool
@@ -111,7 +114,8 @@
 		}
 		for _, urgent := range [2]bool{true, false} {
 			for _, e := range l.ready[:max(n, 0)] {
-				if s := l.byFD[int(e.Fd)]; s != nil && s.urgent == urgent {
+				// A descriptor closed in this round may be another socket's by now: the news are not its own.
+				if s := l.byFD[int(e.Fd)]; s != nil && s.gen == e.Pad && s.urgent == urgent {
 					l.happened(s, e.Events)
 					l.drain(r)
 				} else if int(e.Fd) == l.wake && urgent {
@@ -139,7 +143,12 @@
 
 func (l *Loop) drain(r Reducer) {
 	for i := 0; i < len(l.queue); i++ {
-		for _, f := range r.Step(l.clock.Now(), l.queue[i]) {
+		e := l.queue[i]
+		effects := r.Step(l.clock.Now(), e)
+		if e.Kind == Data && &e.Data[0] == &l.buf[0] {
+			l.bufInUse = false
+		}
+		for _, f := range effects {
 			l.do(f)
 		}
 	}
--- a/internal/loop/sockets.go
+++ b/internal/loop/sockets.go
@@ -26,9 +26,11 @@
 func noDelay(fd int) { _ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1) }
 
 func (l *Loop) add(s *socket) {
+	l.gen++
+	s.gen = l.gen
 	l.byConn[s.conn], l.byFD[s.fd] = s, s
 	s.armed = s.wanted()
-	event := unix.EpollEvent{Events: s.armed, Fd: int32(s.fd)}
+	event := unix.EpollEvent{Events: s.armed, Fd: int32(s.fd), Pad: s.gen}
 	if err := unix.EpollCtl(l.epoll, unix.EPOLL_CTL_ADD, s.fd, &event); err != nil {
 		l.fail(s, err)
 	}
@@ -55,7 +57,7 @@
 		return
 	}
 	s.armed = want
-	event := unix.EpollEvent{Events: want, Fd: int32(s.fd)}
+	event := unix.EpollEvent{Events: want, Fd: int32(s.fd), Pad: s.gen}
 	if err := unix.EpollCtl(l.epoll, unix.EPOLL_CTL_MOD, s.fd, &event); err != nil {
 		l.fail(s, err)
 	}
@@ -93,6 +95,7 @@
 			return
 		}
 	}
+	l.tell(Event{Kind: Readable, Conn: s.conn}) // there may be more
 }
 
 func (l *Loop) dial(f Effect) {
@@ -126,9 +129,14 @@
 	l.tell(Event{Kind: Connected, Conn: s.conn})
 }
 
-// read tells one buffer of what has come. The next Readable brings the rest.
+// read tells one buffer of what has come. The next Readable brings the rest. Where data of another socket is
+// not yet told, it needs a buffer of its own, or the one would be told with the bytes of the other.
 func (l *Loop) read(s *socket) {
-	n, err := unix.Read(s.fd, l.buf)
+	buf := l.buf
+	if l.bufInUse {
+		buf = make([]byte, readSize)
+	}
+	n, err := unix.Read(s.fd, buf)
 	switch {
 	case errors.Is(err, unix.EAGAIN), errors.Is(err, unix.EINTR):
 		l.tell(Event{Kind: Drained, Conn: s.conn})
@@ -137,7 +145,8 @@
 	case n == 0:
 		l.tell(Event{Kind: EOF, Conn: s.conn})
 	default:
-		l.tell(Event{Kind: Data, Conn: s.conn, Data: l.buf[:n]})
+		l.bufInUse = true
+		l.tell(Event{Kind: Data, Conn: s.conn, Data: buf[:n]})
 	}
 }
 
