--- a/api.go
+++ b/api.go
@@ -1,4 +1,4 @@
-package passfold
+package thymebend
 
 import (
 	"fmt"
@@ -187,30 +187,30 @@
 func (c *Config) validate() error {
 	switch {
 	case c.Gateways < 1:
-		return fmt.Errorf("passfold: Gateways is %d, must be at least 1", c.Gateways)
+		return fmt.Errorf("thymebend: Gateways is %d, must be at least 1", c.Gateways)
 	case c.Rank < 0 || c.Rank >= c.Gateways:
-		return fmt.Errorf("passfold: Rank is %d, must be from 0 to %d", c.Rank, c.Gateways-1)
+		return fmt.Errorf("thymebend: Rank is %d, must be from 0 to %d", c.Rank, c.Gateways-1)
 	case len(c.Classes) == 0:
-		return fmt.Errorf("passfold: Classes is empty")
+		return fmt.Errorf("thymebend: Classes is empty")
 	case c.MaxAttempts < 1:
-		return fmt.Errorf("passfold: MaxAttempts is %d, must be at least 1", c.MaxAttempts)
+		return fmt.Errorf("thymebend: MaxAttempts is %d, must be at least 1", c.MaxAttempts)
 	case c.ColdFrom < 0 || c.ColdFrom > 1:
-		return fmt.Errorf("passfold: ColdFrom is %v, must be from 0 to 1", c.ColdFrom)
+		return fmt.Errorf("thymebend: ColdFrom is %v, must be from 0 to 1", c.ColdFrom)
 	case c.WarmAfter < 0 || c.OverloadFor < 0 || c.Tick < 0:
-		return fmt.Errorf("passfold: WarmAfter, OverloadFor and Tick must not be negative")
+		return fmt.Errorf("thymebend: WarmAfter, OverloadFor and Tick must not be negative")
 	case c.AskForList && c.AskWithin <= 0:
-		return fmt.Errorf("passfold: AskWithin must be positive where AskForList is set")
+		return fmt.Errorf("thymebend: AskWithin must be positive where AskForList is set")
 	}
 	for i, k := range c.Classes {
 		switch {
 		case k.Aim <= 0:
-			return fmt.Errorf("passfold: Classes[%d].Aim is %v, must be positive", i, k.Aim)
+			return fmt.Errorf("thymebend: Classes[%d].Aim is %v, must be positive", i, k.Aim)
 		case k.Deadline <= 0:
-			return fmt.Errorf("passfold: Classes[%d].Deadline is %v, must be positive", i, k.Deadline)
+			return fmt.Errorf("thymebend: Classes[%d].Deadline is %v, must be positive", i, k.Deadline)
 		case k.Effect > Unsafe:
-			return fmt.Errorf("passfold: Classes[%d].Effect is %d, not a known effect", i, k.Effect)
+			return fmt.Errorf("thymebend: Classes[%d].Effect is %d, not a known effect", i, k.Effect)
 		case k.Worth < 0:
-			return fmt.Errorf("passfold: Classes[%d].Worth is %v, must not be negative", i, k.Worth)
+			return fmt.Errorf("thymebend: Classes[%d].Worth is %v, must not be negative", i, k.Worth)
 		}
 	}
 	return nil
--- a/balancer.go
+++ b/balancer.go
@@ -1,4 +1,4 @@
-// Package passfold decides for a load-balancing gateway: which server gets which request and when, what is
+// Package thymebend decides for a load-balancing gateway: which server gets which request and when, what is
 // tried again, and what is refused. The interface (settings, events, actions) is in api.go; every decision
 // and every constant is in this file.
 //
@@ -16,7 +16,7 @@
 //	attempts         how an attempt ends, time-outs, what may be sent again
 //	refusals         how long a request is held, over-share and low-worth work
 //	server list      following the list, watching it
-package passfold
+package thymebend
 
 import (
 	"cmp"
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1,4 +1,4 @@
-package passfold
+package thymebend
 
 import (
 	"fmt"
--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -8,9 +8,9 @@
 	"io"
 	"os"
 
-	"passfold"
-	"passfold/internal/settings"
-	"passfold/internal/wire"
+	"thymebend"
+	"thymebend/internal/settings"
+	"thymebend/internal/wire"
 )
 
 func main() {
@@ -22,7 +22,7 @@
 
 // host keeps the instances of this process by their number.
 type host struct {
-	instances map[int]*passfold.Balancer
+	instances map[int]*thymebend.Balancer
 	waiting   map[int]int // by instance: the column of its load reports that holds the requests waiting
 	touched   []int       // instances with an event in this batch, in the order of their first
 	batches   uint64
@@ -32,7 +32,7 @@
 
 // run answers batches until the input ends. A reply is written whole or not at all.
 func run(in io.Reader, out io.Writer) error {
-	h := host{instances: make(map[int]*passfold.Balancer), waiting: make(map[int]int),
+	h := host{instances: make(map[int]*thymebend.Balancer), waiting: make(map[int]int),
 		seen: make(map[int]uint64)}
 	reader := wire.NewReader(in)
 	for {
@@ -103,7 +103,7 @@
 		if err != nil {
 			return fmt.Errorf("instance %d: %w", e.Instance, err)
 		}
-		b, err := passfold.New(set.Config, e.Seed, batch.Now, &h.reply)
+		b, err := thymebend.New(set.Config, e.Seed, batch.Now, &h.reply)
 		if err != nil {
 			return fmt.Errorf("instance %d: %w", e.Instance, err)
 		}
--- a/cmd/thymebend/main.go
+++ b/cmd/thymebend/main.go
@@ -11,9 +11,9 @@
 
 	"github.com/rs/zerolog"
 
-	"passfold/internal/config"
-	"passfold/internal/gateway"
-	"passfold/internal/loop"
+	"thymebend/internal/config"
+	"thymebend/internal/gateway"
+	"thymebend/internal/loop"
 )
 
 // heapShare of the memory limit is the collector's; the rest is for stacks, sockets and the program itself.
--- a/example_test.go
+++ b/example_test.go
@@ -1,56 +1,56 @@
-package passfold_test
+package thymebend_test
 
 import (
 	"fmt"
 	"time"
 
-	"passfold"
+	"thymebend"
 )
 
 // printer carries out actions by printing them; a gateway would send, answer and set timers here.
 type printer struct{}
 
-func (printer) Send(id passfold.RequestID, to passfold.ServerID, timeout time.Duration) {
+func (printer) Send(id thymebend.RequestID, to thymebend.ServerID, timeout time.Duration) {
 	fmt.Printf("send request %d to server %d\n", id, to)
 }
-func (printer) Refuse(id passfold.RequestID, after time.Duration) { fmt.Printf("refuse %d\n", id) }
-func (printer) Fail(id passfold.RequestID)                        { fmt.Printf("fail %d\n", id) }
-func (printer) Cancel(id passfold.RequestID, attempt int)         { fmt.Printf("cancel %d\n", id) }
-func (printer) Wake(after time.Duration, token uint32)            {}
-func (printer) Close(to passfold.ServerID)                        {}
-func (printer) Watch()                                            { fmt.Println("watch the list") }
-func (printer) Log(line string)                                   { fmt.Println("log:", line) }
+func (printer) Refuse(id thymebend.RequestID, after time.Duration) { fmt.Printf("refuse %d\n", id) }
+func (printer) Fail(id thymebend.RequestID)                        { fmt.Printf("fail %d\n", id) }
+func (printer) Cancel(id thymebend.RequestID, attempt int)         { fmt.Printf("cancel %d\n", id) }
+func (printer) Wake(after time.Duration, token uint32)             {}
+func (printer) Close(to thymebend.ServerID)                        {}
+func (printer) Watch()                                             { fmt.Println("watch the list") }
+func (printer) Log(line string)                                    { fmt.Println("log:", line) }
 
 // A request fails on one server and is answered by another.
 func Example() {
-	cfg := passfold.Config{
+	cfg := thymebend.Config{
 		Gateways:    1,
 		MaxAttempts: 3,
 		ColdFrom:    1,
 		Tick:        5 * time.Millisecond,
-		Classes: []passfold.Class{{
-			Aim: 500 * time.Millisecond, Deadline: time.Second, Worth: 1, Effect: passfold.Safe,
+		Classes: []thymebend.Class{{
+			Aim: 500 * time.Millisecond, Deadline: time.Second, Worth: 1, Effect: thymebend.Safe,
 		}},
 	}
 	now := 10 * time.Second // any monotonic clock
-	b, err := passfold.New(cfg, 1, now, printer{})
+	b, err := thymebend.New(cfg, 1, now, printer{})
 	if err != nil {
 		fmt.Println(err)
 		return
 	}
-	b.List(now, passfold.ListFull, []passfold.Server{{ID: 7, State: passfold.Ready}})
-	b.Request(now, passfold.Request{ID: 42, Patience: time.Second})
+	b.List(now, thymebend.ListFull, []thymebend.Server{{ID: 7, State: thymebend.Ready}})
+	b.Request(now, thymebend.Request{ID: 42, Patience: time.Second})
 	b.Dispatch(now)
 
 	now += 20 * time.Millisecond
-	b.List(now, passfold.ListDelta, []passfold.Server{
-		{ID: 7, State: passfold.Draining}, {ID: 8, State: passfold.Ready},
+	b.List(now, thymebend.ListDelta, []thymebend.Server{
+		{ID: 7, State: thymebend.Draining}, {ID: 8, State: thymebend.Ready},
 	})
-	b.AttemptEnd(now, passfold.AttemptEnd{Request: 42, Server: 7, Outcome: passfold.Reset})
+	b.AttemptEnd(now, thymebend.AttemptEnd{Request: 42, Server: 7, Outcome: thymebend.Reset})
 	b.Dispatch(now)
 
 	now += 60 * time.Millisecond
-	b.AttemptEnd(now, passfold.AttemptEnd{Request: 42, Attempt: 1, Server: 8, Outcome: passfold.OK,
+	b.AttemptEnd(now, thymebend.AttemptEnd{Request: 42, Attempt: 1, Server: 8, Outcome: thymebend.OK,
 		Latency: 60 * time.Millisecond, Closed: true})
 	b.Dispatch(now)
 	fmt.Println("answered")
--- a/internal/clients/link.go
+++ b/internal/clients/link.go
@@ -4,9 +4,9 @@
 	"strconv"
 	"time"
 
-	"passfold"
-	"passfold/internal/http1"
-	"passfold/internal/loop"
+	"thymebend"
+	"thymebend/internal/http1"
+	"thymebend/internal/loop"
 )
 
 // HealthPath is where the front asks whether this gateway is ready.
@@ -27,10 +27,10 @@
 // Link is one client link.
 type Link struct {
 	Conn    loop.Conn
-	Query   passfold.RequestID // the query in work, with Busy
-	Busy    bool               // a query is in work or its answer not yet written out
-	Closing bool               // ends after the answer now written
-	Ended   bool               // our sending has ended; what still comes is dropped
+	Query   thymebend.RequestID // the query in work, with Busy
+	Busy    bool                // a query is in work or its answer not yet written out
+	Closing bool                // ends after the answer now written
+	Ended   bool                // our sending has ended; what still comes is dropped
 	Muted   bool
 	Timed   bool // the rest of a request is awaited for a limited time
 	LastAsk bool // is looked at once more before it is closed
--- a/internal/clients/query.go
+++ b/internal/clients/query.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
-	"passfold"
-	"passfold/internal/http1"
+	"thymebend"
+	"thymebend/internal/http1"
 )
 
 // The header fields of this peer.
@@ -30,7 +30,7 @@
 }
 
 // Read checks a request against the classes. What it refuses never reaches the module nor a host.
-func Read(m *http1.Message, classes []passfold.Class) (Query, *http1.Fault) {
+func Read(m *http1.Message, classes []thymebend.Class) (Query, *http1.Fault) {
 	q := Query{Message: m, Class: -1}
 	path, _, _ := strings.Cut(m.Target, "?")
 	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
@@ -46,7 +46,7 @@
 		return q, fault(fieldClass + " must name the class of the path")
 	}
 	method := "GET"
-	if classes[q.Class].Effect != passfold.Safe {
+	if classes[q.Class].Effect != thymebend.Safe {
 		method = "POST"
 	}
 	if m.Method != method {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,7 +9,7 @@
 	"os"
 	"strconv"
 
-	"passfold/internal/settings"
+	"thymebend/internal/settings"
 )
 
 // Config is all that a gateway is told at its start.
--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -3,16 +3,16 @@
 import (
 	"time"
 
-	"passfold"
-	"passfold/internal/clients"
-	"passfold/internal/loop"
+	"thymebend"
+	"thymebend/internal/clients"
+	"thymebend/internal/loop"
 )
 
 // The methods of this file are what the module asks for. They change the state and ask for effects, and they
 // put off all that the module has to hear: it must not be called while it calls.
 
-// Send implements passfold.Actions.
-func (g *Gateway) Send(id passfold.RequestID, to passfold.ServerID, timeout time.Duration) {
+// Send implements thymebend.Actions.
+func (g *Gateway) Send(id thymebend.RequestID, to thymebend.ServerID, timeout time.Duration) {
 	q := g.queries[id]
 	if q == nil {
 		g.log.Error().Uint32("query", uint32(id)).Msg("send for an unknown query")
@@ -34,22 +34,22 @@
 	g.begin(x)
 }
 
-// Refuse implements passfold.Actions. A refusal goes out at once.
-func (g *Gateway) Refuse(id passfold.RequestID, after time.Duration) {
+// Refuse implements thymebend.Actions. A refusal goes out at once.
+func (g *Gateway) Refuse(id thymebend.RequestID, after time.Duration) {
 	if q, l := g.finish(id); l != nil {
 		g.answer(q, l, clients.Refused(after, !l.Closing))
 	}
 }
 
-// Fail implements passfold.Actions.
-func (g *Gateway) Fail(id passfold.RequestID) {
+// Fail implements thymebend.Actions.
+func (g *Gateway) Fail(id thymebend.RequestID) {
 	if q, l := g.finish(id); l != nil {
 		g.answer(q, l, clients.Failed(!l.Closing))
 	}
 }
 
 // finish concludes a query and returns the link on which its answer goes out, if the client is still there.
-func (g *Gateway) finish(id passfold.RequestID) (*query, *clients.Link) {
+func (g *Gateway) finish(id thymebend.RequestID) (*query, *clients.Link) {
 	q := g.queries[id]
 	if q == nil || q.over {
 		return nil, nil
@@ -66,8 +66,8 @@
 	}
 }
 
-// Cancel implements passfold.Actions.
-func (g *Gateway) Cancel(id passfold.RequestID, attempt int) {
+// Cancel implements thymebend.Actions.
+func (g *Gateway) Cancel(id thymebend.RequestID, attempt int) {
 	q := g.queries[id]
 	if q == nil {
 		return
@@ -80,26 +80,26 @@
 	}
 }
 
-// Close implements passfold.Actions.
-func (g *Gateway) Close(to passfold.ServerID) {
+// Close implements thymebend.Actions.
+func (g *Gateway) Close(to thymebend.ServerID) {
 	for _, l := range g.pool.IdleTo(to) {
 		g.dropLink(l, EndLinkIdle)
 	}
 }
 
-// Wake implements passfold.Actions. A token may be out more than once, so each has a number of its own.
+// Wake implements thymebend.Actions. A token may be out more than once, so each has a number of its own.
 func (g *Gateway) Wake(after time.Duration, token uint32) {
 	g.wakes++
 	g.setTimer(timerWake, g.wakes<<32|uint64(token), g.now+after)
 }
 
-// Watch implements passfold.Actions.
+// Watch implements thymebend.Actions.
 func (g *Gateway) Watch() {
 	g.dropWatch(EndListReplace, nil)
 	g.openWatch()
 }
 
-// Log implements passfold.Actions.
+// Log implements thymebend.Actions.
 func (g *Gateway) Log(line string) { g.log.Info().Str("from", "module").Msg(line) }
 
 // tellEnds tells the module the ends that came up while it was busy. What it answers may bring about more.
@@ -112,14 +112,14 @@
 	if g.lost {
 		g.lost = false
 		g.told = true
-		g.module.List(g.now, passfold.ListFailed, nil)
+		g.module.List(g.now, thymebend.ListFailed, nil)
 	}
 }
 
 func (g *Gateway) tellEnd(p pendingEnd) {
 	q := p.exec.query
 	outcome, _ := p.end.outcome()
-	end := passfold.AttemptEnd{Request: q.id, Attempt: p.exec.number, Server: p.exec.host, Outcome: outcome,
+	end := thymebend.AttemptEnd{Request: q.id, Attempt: p.exec.number, Server: p.exec.host, Outcome: outcome,
 		Latency: g.now - p.exec.began, Closed: q.over}
 	if p.answer != nil && g.cfg.Settings.Gateway.Waiting >= 0 {
 		end.Reported, end.Waiting = p.answer.Reported, p.answer.Waiting
--- a/internal/gateway/end.go
+++ b/internal/gateway/end.go
@@ -1,6 +1,6 @@
 package gateway
 
-import "passfold"
+import "thymebend"
 
 // End is every way in which a connection, or what was under way on it, can end.
 type End uint8
@@ -32,24 +32,24 @@
 )
 
 // outcome maps an execution's end to what the module is told, and reports whether there is anything to tell.
-func (e End) outcome() (passfold.Outcome, bool) {
+func (e End) outcome() (thymebend.Outcome, bool) {
 	switch e {
 	case EndOver:
-		return passfold.Moot, true
+		return thymebend.Moot, true
 	case EndHostLeft, EndNoRoom, EndUnreached, EndNotUp, EndUnsent:
-		return passfold.ConnectFailed, true
+		return thymebend.ConnectFailed, true
 	case EndTurnedAway:
-		return passfold.Full, true
+		return thymebend.Full, true
 	case EndTimedOut:
-		return passfold.Timeout, true
+		return thymebend.Timeout, true
 	case EndCut:
-		return passfold.Reset, true
+		return thymebend.Reset, true
 	case EndGarbled, EndFaulty:
-		return passfold.Error, true
+		return thymebend.Error, true
 	case EndCalledOff, EndClientGone:
-		return passfold.Cancelled, true
+		return thymebend.Cancelled, true
 	case EndServed:
-		return passfold.OK, true
+		return thymebend.OK, true
 	}
 	return 0, false
 }
--- a/internal/gateway/fromclients.go
+++ b/internal/gateway/fromclients.go
@@ -4,10 +4,10 @@
 	"strings"
 	"time"
 
-	"passfold"
-	"passfold/internal/clients"
-	"passfold/internal/http1"
-	"passfold/internal/loop"
+	"thymebend"
+	"thymebend/internal/clients"
+	"thymebend/internal/http1"
+	"thymebend/internal/loop"
 )
 
 // acceptPause is how long the listener rests when there is no descriptor left, unless a link closes before.
@@ -160,7 +160,7 @@
 	g.queries[q.id] = q
 	l.Busy, l.Query = true, q.id
 	g.told = true
-	g.module.Request(g.now, passfold.Request{ID: q.id, Class: read.Class, Patience: read.Patience})
+	g.module.Request(g.now, thymebend.Request{ID: q.id, Class: read.Class, Patience: read.Patience})
 }
 
 // reply writes an answer of the gateway's own, to what is no query.
--- a/internal/gateway/fromlist.go
+++ b/internal/gateway/fromlist.go
@@ -1,9 +1,9 @@
 package gateway
 
 import (
-	"passfold"
-	"passfold/internal/hostgroup"
-	"passfold/internal/loop"
+	"thymebend"
+	"thymebend/internal/hostgroup"
+	"thymebend/internal/loop"
 )
 
 func (g *Gateway) openWatch() {
@@ -46,9 +46,9 @@
 				return
 			}
 		}
-		kind := passfold.ListDelta
+		kind := thymebend.ListDelta
 		if news.Whole {
-			kind = passfold.ListFull
+			kind = thymebend.ListFull
 		}
 		g.hostsLeft(news.Changed)
 		g.told = true
--- a/internal/gateway/fromservers.go
+++ b/internal/gateway/fromservers.go
@@ -4,16 +4,16 @@
 	"slices"
 	"time"
 
-	"passfold"
-	"passfold/internal/clients"
-	"passfold/internal/loop"
-	"passfold/internal/servers"
+	"thymebend"
+	"thymebend/internal/clients"
+	"thymebend/internal/loop"
+	"thymebend/internal/servers"
 )
 
 // begin writes an execution on an idle link to its host, or opens one.
 func (g *Gateway) begin(x *execution) {
 	host := g.group.Find(x.host)
-	if host == nil || host.State != passfold.Ready {
+	if host == nil || host.State != thymebend.Ready {
 		g.endExecution(x, EndHostLeft, nil)
 		return
 	}
@@ -136,7 +136,7 @@
 
 func (g *Gateway) mayRest(l *servers.Link) bool {
 	h := g.group.Find(l.Host)
-	return h != nil && h.State == passfold.Ready && !g.stopping
+	return h != nil && h.State == thymebend.Ready && !g.stopping
 }
 
 func (g *Gateway) unbind(x *execution) {
@@ -187,12 +187,12 @@
 
 // hostsLeft closes the idle links to hosts that drain, are gone or have started anew, and ends the executions
 // that still connect to one that takes nothing new: not a byte may go there after the gateway has been told.
-func (g *Gateway) hostsLeft(changed []passfold.ServerID) {
+func (g *Gateway) hostsLeft(changed []thymebend.ServerID) {
 	for _, id := range changed {
 		for _, l := range g.pool.IdleTo(id) {
 			g.dropLink(l, EndHostLeft)
 		}
-		if h := g.group.Find(id); h != nil && h.State == passfold.Ready {
+		if h := g.group.Find(id); h != nil && h.State == thymebend.Ready {
 			continue
 		}
 		for _, l := range g.pool.ConnectingTo(id) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,12 +8,12 @@
 
 	"github.com/rs/zerolog"
 
-	"passfold"
-	"passfold/internal/clients"
-	"passfold/internal/config"
-	"passfold/internal/hostgroup"
-	"passfold/internal/loop"
-	"passfold/internal/servers"
+	"thymebend"
+	"thymebend/internal/clients"
+	"thymebend/internal/config"
+	"thymebend/internal/hostgroup"
+	"thymebend/internal/loop"
+	"thymebend/internal/servers"
 )
 
 // Timers by kind. Their ids are connections, executions or tokens of the module.
@@ -40,7 +40,7 @@
 // query is a request that this gateway has taken.
 type query struct {
 	clients.Query
-	id         passfold.RequestID
+	id         thymebend.RequestID
 	client     loop.Conn // 0 once the client is gone
 	deadline   time.Duration
 	over       bool // has its final answer, or its client is gone
@@ -53,7 +53,7 @@
 	query  *query
 	number int
 	id     uint64
-	host   passfold.ServerID
+	host   thymebend.ServerID
 	link   *servers.Link
 	began  time.Duration
 	until  time.Duration // awaited until then
@@ -66,11 +66,11 @@
 	answer *servers.Answer
 }
 
-// Gateway is the state. It implements passfold.Actions.
+// Gateway is the state. It implements thymebend.Actions.
 type Gateway struct {
 	cfg    config.Config
 	log    zerolog.Logger
-	module *passfold.Balancer
+	module *thymebend.Balancer
 	now    time.Duration
 
 	effects []loop.Effect
@@ -78,8 +78,8 @@
 	told    bool // the module was told something since its last Dispatch
 	wakes   uint64
 
-	queries  map[passfold.RequestID]*query
-	nextID   passfold.RequestID
+	queries  map[thymebend.RequestID]*query
+	nextID   thymebend.RequestID
 	byLink   map[loop.Conn]*execution
 	byID     map[uint64]*execution
 	nextExec uint64
@@ -100,7 +100,7 @@
 	inbound := int(sockets * clientShare)
 	return &Gateway{
 		cfg: cfg, log: log,
-		queries: make(map[passfold.RequestID]*query),
+		queries: make(map[thymebend.RequestID]*query),
 		byLink:  make(map[loop.Conn]*execution), byID: make(map[uint64]*execution),
 		links: clients.NewLinks(inbound), pool: servers.NewPool(int(sockets) - inbound),
 		group: hostgroup.New(cfg.Settings.Gateway.Zones),
@@ -153,7 +153,7 @@
 
 // start makes the module and gives it the list that this gateway last had.
 func (g *Gateway) start() {
-	module, err := passfold.New(g.cfg.Settings.Config, g.cfg.Seed, g.now, g)
+	module, err := thymebend.New(g.cfg.Settings.Config, g.cfg.Seed, g.now, g)
 	if err != nil {
 		g.log.Error().Err(err).Msg("settings refused by the module")
 		g.ask(loop.Effect{Op: loop.Exit, Failed: err})
@@ -162,14 +162,14 @@
 	g.module = module
 	g.told = true
 	if len(g.cfg.Known) == 0 {
-		g.module.List(g.now, passfold.ListCached, nil)
+		g.module.List(g.now, thymebend.ListCached, nil)
 		return
 	}
 	news, err := g.group.Apply(g.cfg.Known)
 	if err != nil {
 		g.log.Error().Err(err).Msg("the known list is not usable")
 	}
-	g.module.List(g.now, passfold.ListCached, news.Entries)
+	g.module.List(g.now, thymebend.ListCached, news.Entries)
 }
 
 // socket hands the news of a socket to the peer that it belongs to. A socket that no peer knows was closed.
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"passfold/internal/clients"
-	"passfold/internal/loop"
+	"thymebend/internal/clients"
+	"thymebend/internal/loop"
 )
 
 // acceptAfterStop is how long new connections are taken after SIGTERM: the front goes on bringing them for 0.4 s.
--- a/internal/hostgroup/list.go
+++ b/internal/hostgroup/list.go
@@ -11,12 +11,12 @@
 	"slices"
 	"time"
 
-	"passfold"
+	"thymebend"
 )
 
 // Host is one host as the gateway reaches it.
 type Host struct {
-	passfold.Server
+	thymebend.Server
 	Name string
 	Dial netip.AddrPort
 }
@@ -24,17 +24,17 @@
 // Group is the list as this gateway has it.
 type Group struct {
 	zones []string
-	hosts map[passfold.ServerID]*Host
+	hosts map[thymebend.ServerID]*Host
 	seq   uint64
 }
 
 // New returns an empty group. A host's zone is the place of its site among zones.
 func New(zones []string) *Group {
-	return &Group{zones: zones, hosts: make(map[passfold.ServerID]*Host)}
+	return &Group{zones: zones, hosts: make(map[thymebend.ServerID]*Host)}
 }
 
 // Find returns a host of the list, or nil.
-func (g *Group) Find(id passfold.ServerID) *Host { return g.hosts[id] }
+func (g *Group) Find(id thymebend.ServerID) *Host { return g.hosts[id] }
 
 // Len is the number of hosts listed.
 func (g *Group) Len() int { return len(g.hosts) }
@@ -42,8 +42,8 @@
 // News is one object that discovery wrote, applied to the group.
 type News struct {
 	Whole   bool
-	Entries []passfold.Server
-	Changed []passfold.ServerID // hosts whose idle links must not be used again
+	Entries []thymebend.Server
+	Changed []thymebend.ServerID // hosts whose idle links must not be used again
 }
 
 type document struct {
@@ -90,11 +90,11 @@
 	}
 	for _, h := range fresh {
 		old := g.hosts[h.ID]
-		if old != nil && (old.Born != h.Born || old.Dial != h.Dial || h.State != passfold.Ready) {
+		if old != nil && (old.Born != h.Born || old.Dial != h.Dial || h.State != thymebend.Ready) {
 			news.Changed = append(news.Changed, h.ID)
 		}
 		g.hosts[h.ID] = h
-		if h.State == passfold.Gone {
+		if h.State == thymebend.Gone {
 			delete(g.hosts, h.ID)
 		}
 		news.Entries = append(news.Entries, h.Server)
@@ -107,15 +107,15 @@
 	if e.Host == "" {
 		return nil, fmt.Errorf("host list: an entry without host")
 	}
-	h := &Host{Name: e.Host, Server: passfold.Server{ID: identity(e.Host), Zone: g.zone(e.Site), Cell: e.Block,
+	h := &Host{Name: e.Host, Server: thymebend.Server{ID: identity(e.Host), Zone: g.zone(e.Site), Cell: e.Block,
 		Born: time.Duration(math.Round(e.Born*1000)) * time.Microsecond}}
 	switch e.Health {
 	case "up":
-		h.State = passfold.Ready
+		h.State = thymebend.Ready
 	case "draining":
-		h.State = passfold.Draining
+		h.State = thymebend.Draining
 	case "removed":
-		h.State = passfold.Gone
+		h.State = thymebend.Gone
 		return h, nil
 	default:
 		return nil, fmt.Errorf("host list: %s has unknown health %q", e.Host, e.Health)
@@ -132,10 +132,10 @@
 
 // identity derives a host's number from its name alone, so that it is the same at every gateway: gateways
 // pick their servers by it.
-func identity(name string) passfold.ServerID {
+func identity(name string) thymebend.ServerID {
 	sum := fnv.New64a()
 	_, _ = sum.Write([]byte(name)) // a hash never fails
-	return passfold.ServerID(sum.Sum64())
+	return thymebend.ServerID(sum.Sum64())
 }
 
 // zone is the place of a site among the zones; an unknown one lies in a zone of its own.
--- a/internal/hostgroup/watch.go
+++ b/internal/hostgroup/watch.go
@@ -7,8 +7,8 @@
 	"strconv"
 	"time"
 
-	"passfold/internal/http1"
-	"passfold/internal/loop"
+	"thymebend/internal/http1"
+	"thymebend/internal/loop"
 )
 
 // How long discovery may be silent. A call waits in turn before its answer begins; from then on a line comes
--- a/internal/servers/answer.go
+++ b/internal/servers/answer.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"strings"
 
-	"passfold/internal/http1"
+	"thymebend/internal/http1"
 )
 
 // The header fields of this peer.
--- a/internal/servers/pool.go
+++ b/internal/servers/pool.go
@@ -7,9 +7,9 @@
 	"strings"
 	"time"
 
-	"passfold"
-	"passfold/internal/http1"
-	"passfold/internal/loop"
+	"thymebend"
+	"thymebend/internal/http1"
+	"thymebend/internal/loop"
 )
 
 // Phase is how far a server link is.
@@ -26,7 +26,7 @@
 // Link is one server link. It carries one execution at a time.
 type Link struct {
 	Conn   loop.Conn
-	Host   passfold.ServerID
+	Host   thymebend.ServerID
 	Phase  Phase
 	reader http1.Reader
 }
@@ -59,14 +59,14 @@
 // Pool holds the server links.
 type Pool struct {
 	links map[loop.Conn]*Link
-	idle  map[passfold.ServerID][]*Link // newest last
+	idle  map[thymebend.ServerID][]*Link // newest last
 	most  int
 	next  loop.Conn
 }
 
 // NewPool returns a pool of at most so many links.
 func NewPool(most int) *Pool {
-	return &Pool{links: make(map[loop.Conn]*Link), idle: make(map[passfold.ServerID][]*Link), most: most}
+	return &Pool{links: make(map[loop.Conn]*Link), idle: make(map[thymebend.ServerID][]*Link), most: most}
 }
 
 // Find returns the link of a connection, or nil.
@@ -83,7 +83,7 @@
 
 // Take returns the idle link to a host that was used last, or nil. The newest goes first, so that links that
 // are not needed grow old and are closed.
-func (p *Pool) Take(host passfold.ServerID) *Link {
+func (p *Pool) Take(host thymebend.ServerID) *Link {
 	links := p.idle[host]
 	if len(links) == 0 {
 		return nil
@@ -94,7 +94,7 @@
 }
 
 // Open adds a link that connects.
-func (p *Pool) Open(host passfold.ServerID) *Link {
+func (p *Pool) Open(host thymebend.ServerID) *Link {
 	l := &Link{Conn: p.NextConn(), Host: host, reader: http1.Reader{Response: true}}
 	p.links[l.Conn] = l
 	return l
@@ -128,10 +128,10 @@
 }
 
 // IdleTo returns the idle links to a host, oldest first.
-func (p *Pool) IdleTo(host passfold.ServerID) []*Link { return append([]*Link(nil), p.idle[host]...) }
+func (p *Pool) IdleTo(host thymebend.ServerID) []*Link { return append([]*Link(nil), p.idle[host]...) }
 
 // ConnectingTo returns the links to a host that are not up yet, oldest first.
-func (p *Pool) ConnectingTo(host passfold.ServerID) []*Link {
+func (p *Pool) ConnectingTo(host thymebend.ServerID) []*Link {
 	var found []*Link
 	for _, l := range p.links {
 		if l.Host == host && l.Phase == Connecting {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"passfold"
+	"thymebend"
 )
 
 // settings holds values by path. Reading a value remembers the first fault.
@@ -22,7 +22,7 @@
 
 // Settings is what the settings say, translated.
 type Settings struct {
-	Config  passfold.Config
+	Config  thymebend.Config
 	Gateway Gateway
 }
 
@@ -66,8 +66,8 @@
 	return strings.Split(s.values[path], ",")
 }
 
-func (s *settings) config() passfold.Config {
-	c := passfold.Config{
+func (s *settings) config() thymebend.Config {
+	c := thymebend.Config{
 		Gateways:       s.integer("balancers", 1, true),
 		Rank:           s.integer("rank", 0, false),
 		Zone:           s.integer("zone", 0, false),
@@ -96,7 +96,7 @@
 	}
 	for i := range s.integer("tenants.count", 0, false) {
 		p := fmt.Sprintf("tenants.%d.", i)
-		c.Tenants = append(c.Tenants, passfold.Tenant{
+		c.Tenants = append(c.Tenants, thymebend.Tenant{
 			Name:  s.values[p+"name"],
 			Quota: s.number(p+"quota_per_s", 0, false),
 		})
@@ -107,8 +107,8 @@
 	return c
 }
 
-func (s *settings) class(p string) passfold.Class {
-	c := passfold.Class{
+func (s *settings) class(p string) thymebend.Class {
+	c := thymebend.Class{
 		Name:      s.values[p+"name"],
 		Aim:       s.millis(p+"aim_ms", 0, true),
 		Deadline:  s.millis(p+"give_up_ms", 0, true),
@@ -118,19 +118,19 @@
 	}
 	switch s.word(p+"repeat", "once", "repeatable", "by_key", "once") {
 	case "repeatable":
-		c.Effect = passfold.Safe
+		c.Effect = thymebend.Safe
 	case "by_key":
-		c.Effect = passfold.Keyed
+		c.Effect = thymebend.Keyed
 	default:
-		c.Effect = passfold.Unsafe
+		c.Effect = thymebend.Unsafe
 	}
 	switch s.word(p+"group", "cell", "all", "zone", "cell") {
 	case "all":
-		c.Group = passfold.GroupAll
+		c.Group = thymebend.GroupAll
 	case "zone":
-		c.Group = passfold.GroupZone
+		c.Group = thymebend.GroupZone
 	default:
-		c.Group = passfold.GroupCell
+		c.Group = thymebend.GroupCell
 	}
 	return c
 }
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -10,8 +10,8 @@
 	"math"
 	"time"
 
-	"passfold"
-	"passfold/internal/settings"
+	"thymebend"
+	"thymebend/internal/settings"
 )
 
 // Sizes of the frame parts, in bytes.
@@ -46,30 +46,30 @@
 type Event struct {
 	Instance int
 	Kind     Kind
-	Request  passfold.Request    // NewRequest; only its ID for Lapsed and First
-	End      passfold.AttemptEnd // AttemptEnded
-	Load     Load                // AttemptEnded
-	Token    uint32              // TimerFired
-	Seed     uint64              // Start
-	Settings string              // Start
-	List     passfold.ListKind   // ListChanged
-	Servers  []passfold.Server   // ListChanged
+	Request  thymebend.Request    // NewRequest; only its ID for Lapsed and First
+	End      thymebend.AttemptEnd // AttemptEnded
+	Load     Load                 // AttemptEnded
+	Token    uint32               // TimerFired
+	Seed     uint64               // Start
+	Settings string               // Start
+	List     thymebend.ListKind   // ListChanged
+	Servers  []thymebend.Server   // ListChanged
 }
 
-var outcomes = map[uint16]passfold.Outcome{
-	100: passfold.OK, 301: passfold.Error, 302: passfold.Full, 303: passfold.Timeout,
-	304: passfold.ConnectFailed, 305: passfold.Reset, 306: passfold.Cancelled, 307: passfold.Moot,
+var outcomes = map[uint16]thymebend.Outcome{
+	100: thymebend.OK, 301: thymebend.Error, 302: thymebend.Full, 303: thymebend.Timeout,
+	304: thymebend.ConnectFailed, 305: thymebend.Reset, 306: thymebend.Cancelled, 307: thymebend.Moot,
 }
 
-var listKinds = [...]passfold.ListKind{
-	0: passfold.ListCached, 1: passfold.ListFailed, 2: passfold.ListDelta, 3: passfold.ListFull,
+var listKinds = [...]thymebend.ListKind{
+	0: thymebend.ListCached, 1: thymebend.ListFailed, 2: thymebend.ListDelta, 3: thymebend.ListFull,
 }
 
 // Reader reads batches from a stream and reuses its buffer.
 type Reader struct {
 	in      io.Reader
 	frame   []byte
-	servers []passfold.Server
+	servers []thymebend.Server
 }
 
 // NewReader returns a Reader on in.
@@ -104,15 +104,15 @@
 	Now     time.Duration
 	records []byte
 	tail    []byte
-	servers *[]passfold.Server
+	servers *[]thymebend.Server
 	at      int
 	inst    int
 }
 
 // Decode checks the header of a frame held in memory.
-func Decode(frame []byte) (Batch, error) { return decode(frame, new([]passfold.Server)) }
+func Decode(frame []byte) (Batch, error) { return decode(frame, new([]thymebend.Server)) }
 
-func decode(frame []byte, servers *[]passfold.Server) (Batch, error) {
+func decode(frame []byte, servers *[]thymebend.Server) (Batch, error) {
 	if len(frame) < batchHeader {
 		return Batch{}, fmt.Errorf("batch: %d bytes, the header alone has %d", len(frame), batchHeader)
 	}
@@ -163,7 +163,7 @@
 		e.End, err = attemptEnd(rec)
 		e.Load = load(rec[24:])
 	case Lapsed, First:
-		e.Request.ID = passfold.RequestID(le.Uint32(rec[1:]))
+		e.Request.ID = thymebend.RequestID(le.Uint32(rec[1:]))
 	case TimerFired:
 		e.Token = le.Uint32(rec[1:])
 	case ListChanged:
@@ -192,21 +192,21 @@
 	return settings.Millis(v), nil
 }
 
-func host(rec []byte) passfold.ServerID {
+func host(rec []byte) thymebend.ServerID {
 	port := binary.LittleEndian.Uint16(rec[4:])
-	return passfold.ServerID(binary.BigEndian.Uint32(rec))<<16 | passfold.ServerID(port)
+	return thymebend.ServerID(binary.BigEndian.Uint32(rec))<<16 | thymebend.ServerID(port)
 }
 
-func attemptEnd(rec []byte) (passfold.AttemptEnd, error) {
+func attemptEnd(rec []byte) (thymebend.AttemptEnd, error) {
 	le := binary.LittleEndian
 	code := le.Uint16(rec[13:])
 	outcome, ok := outcomes[code]
 	if !ok {
-		return passfold.AttemptEnd{}, fmt.Errorf("unknown outcome %d at byte 13", code)
+		return thymebend.AttemptEnd{}, fmt.Errorf("unknown outcome %d at byte 13", code)
 	}
 	latency, err := float(rec[15:], "latency_ms")
-	return passfold.AttemptEnd{
-		Request: passfold.RequestID(le.Uint32(rec[1:])), Attempt: int(le.Uint16(rec[5:])),
+	return thymebend.AttemptEnd{
+		Request: thymebend.RequestID(le.Uint32(rec[1:])), Attempt: int(le.Uint16(rec[5:])),
 		Server: host(rec[7:]), Outcome: outcome, Latency: latency, Closed: rec[23] != 0,
 	}, err
 }
@@ -233,11 +233,11 @@
 	return l.Values[column], true
 }
 
-func request(rec []byte) (passfold.Request, error) {
+func request(rec []byte) (thymebend.Request, error) {
 	le := binary.LittleEndian
 	left, err := float(rec[17:], "patience_left_ms")
-	return passfold.Request{
-		ID: passfold.RequestID(le.Uint32(rec[1:])), Tenant: int(le.Uint32(rec[5:])),
+	return thymebend.Request{
+		ID: thymebend.RequestID(le.Uint32(rec[1:])), Tenant: int(le.Uint32(rec[5:])),
 		Patience: left, Class: int(le.Uint16(rec[25:])),
 	}, err
 }
@@ -264,16 +264,16 @@
 	return nil
 }
 
-func entry(rec []byte) (passfold.Server, error) {
+func entry(rec []byte) (thymebend.Server, error) {
 	born, err := float(rec[14:], "born_ms")
 	if err != nil {
-		return passfold.Server{}, err
+		return thymebend.Server{}, err
 	}
 	if rec[13] > 2 {
-		return passfold.Server{}, fmt.Errorf("unknown availability %d at byte 13", rec[13])
+		return thymebend.Server{}, fmt.Errorf("unknown availability %d at byte 13", rec[13])
 	}
-	state := [...]passfold.State{passfold.Gone, passfold.Ready, passfold.Draining}[rec[13]]
-	return passfold.Server{
+	state := [...]thymebend.State{thymebend.Gone, thymebend.Ready, thymebend.Draining}[rec[13]]
+	return thymebend.Server{
 		Zone: int(rec[4]), Cell: int(binary.LittleEndian.Uint16(rec[5:])), ID: host(rec[7:]), State: state,
 		Born: born,
 	}, nil
--- a/internal/wire/reply.go
+++ b/internal/wire/reply.go
@@ -6,7 +6,7 @@
 	"math"
 	"time"
 
-	"passfold"
+	"thymebend"
 )
 
 // The action codes of the wire.
@@ -22,7 +22,7 @@
 	actFor    = 13
 )
 
-// Reply collects the actions of one batch. It implements passfold.Actions for the instance chosen last
+// Reply collects the actions of one batch. It implements thymebend.Actions for the instance chosen last
 // with For.
 type Reply struct {
 	records []byte
@@ -69,7 +69,7 @@
 	return r.records[at:]
 }
 
-func (r *Reply) request(code byte, id passfold.RequestID) []byte {
+func (r *Reply) request(code byte, id thymebend.RequestID) []byte {
 	rec := r.record(code)
 	binary.LittleEndian.PutUint32(rec[1:], uint32(id))
 	return rec
@@ -80,45 +80,45 @@
 	binary.LittleEndian.PutUint64(b, math.Float64bits(v))
 }
 
-// Send implements passfold.Actions.
-func (r *Reply) Send(id passfold.RequestID, to passfold.ServerID, timeout time.Duration) {
+// Send implements thymebend.Actions.
+func (r *Reply) Send(id thymebend.RequestID, to thymebend.ServerID, timeout time.Duration) {
 	rec := r.request(actSend, id)
 	binary.BigEndian.PutUint32(rec[5:], uint32(to>>16))
 	binary.LittleEndian.PutUint16(rec[9:], uint16(to))
 	putTime(rec[11:], timeout)
 }
 
-// Refuse implements passfold.Actions.
-func (r *Reply) Refuse(id passfold.RequestID, after time.Duration) {
+// Refuse implements thymebend.Actions.
+func (r *Reply) Refuse(id thymebend.RequestID, after time.Duration) {
 	putTime(r.request(actRefuse, id)[5:], after)
 }
 
-// Fail implements passfold.Actions.
-func (r *Reply) Fail(id passfold.RequestID) { r.request(actFail, id) }
+// Fail implements thymebend.Actions.
+func (r *Reply) Fail(id thymebend.RequestID) { r.request(actFail, id) }
 
-// Cancel implements passfold.Actions.
-func (r *Reply) Cancel(id passfold.RequestID, attempt int) {
+// Cancel implements thymebend.Actions.
+func (r *Reply) Cancel(id thymebend.RequestID, attempt int) {
 	binary.LittleEndian.PutUint16(r.request(actCancel, id)[5:], uint16(attempt))
 }
 
-// Close implements passfold.Actions.
-func (r *Reply) Close(to passfold.ServerID) {
+// Close implements thymebend.Actions.
+func (r *Reply) Close(to thymebend.ServerID) {
 	rec := r.record(actClose)
 	binary.BigEndian.PutUint32(rec[1:], uint32(to>>16))
 	binary.LittleEndian.PutUint16(rec[5:], uint16(to))
 }
 
-// Wake implements passfold.Actions.
+// Wake implements thymebend.Actions.
 func (r *Reply) Wake(after time.Duration, token uint32) {
 	rec := r.record(actWake)
 	putTime(rec[1:], after)
 	binary.LittleEndian.PutUint32(rec[9:], token)
 }
 
-// Watch implements passfold.Actions.
+// Watch implements thymebend.Actions.
 func (r *Reply) Watch() { r.record(actWatch)[1] = 1 }
 
-// Log implements passfold.Actions.
+// Log implements thymebend.Actions.
 func (r *Reply) Log(line string) {
 	rec := r.record(actLog)
 	binary.LittleEndian.PutUint32(rec[1:], uint32(len(r.tail)))
