Keep HTTP out of the gateway's state, and bound the time a client takes to read

A read of the code found that the gateway parsed paths and methods itself, so a second protocol would have had to repeat it, and that a client which never reads its answer held its link, and the end of the program, for ever (fromclients.go: no timer after answer or reply). Changed: clients.Link.Next returns what is asked, the gateway knows no HTTP; an answer not taken within 10 s ends its link; HTTP/1.0 requests without Host get one toward the host; accept takes 64 sockets a turn, epoll brings the rest. Checked: new tests for the backlog at a stop, forty clients at once and a connection that never comes up. With the read buffer's guard taken out the backlog test fails; with the accept cap's extra event taken out nothing fails, for the listener closes only once it is empty, so that event is gone.

--- a/cmd/thymebend/helper_test.go
+++ b/cmd/thymebend/helper_test.go
@@ -256,6 +256,15 @@
 	return r.cmd.ProcessState.ExitCode()
 }
 
+// stopBegins waits until the gateway has taken its SIGTERM.
+func (r *rig) stopBegins() {
+	r.t.Helper()
+	until(r.t, "the stop to begin", func() bool {
+		_, fields, _ := ask(r.t, r.dial(), view("first", 900))
+		return fields.Get("Connection") == "close"
+	})
+}
+
 // until waits for a condition.
 func until(t *testing.T, what string, holds func() bool) {
 	t.Helper()
--- a/cmd/thymebend/life_test.go
+++ b/cmd/thymebend/life_test.go
@@ -109,10 +109,7 @@
 	if err := g.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
-	until(t, "the stop to begin", func() bool {
-		_, fields, _ := ask(t, g.dial(), view("after", 900))
-		return fields.Get("Connection") == "close"
-	})
+	g.stopBegins()
 	if status, fields, _ := ask(t, idle, view("kept", 900)); status != 200 || fields.Get("Connection") != "close" {
 		t.Errorf("on a link from before: %d, Connection %q", status, fields.Get("Connection"))
 	}
@@ -133,6 +130,77 @@
 	}
 }
 
+// The backlog may hold more connections than one accept takes: all of them are answered before the end.
+func TestStopEmptiesTheBacklog(t *testing.T) {
+	g := start(t, nil, newHost(t, "s-1", ok))
+	signal := func(s syscall.Signal) {
+		if err := g.cmd.Process.Signal(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	signal(syscall.SIGTERM)
+	g.stopBegins()
+	signal(syscall.SIGSTOP)
+	var waiting []net.Conn
+	for i := range 200 {
+		waiting = append(waiting, g.dial())
+		if _, err := io.WriteString(waiting[i], view(fmt.Sprint("v", i), 1900)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(600 * time.Millisecond) // until the listener is due to close: no peer can see that
+	signal(syscall.SIGCONT)
+	for i, c := range waiting {
+		if status, _, _ := answer(c); status != 200 && status != 503 {
+			t.Errorf("connection %d: status %d", i, status)
+		}
+		c.Close()
+	}
+	if code := g.exit(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+}
+
+// Answers to a client must not mix with those of another, however their bytes come together.
+func TestManyClientsAtOnceGetTheirOwnAnswers(t *testing.T) {
+	var hosts []*host
+	for i := range 4 {
+		hosts = append(hosts, newHost(t, fmt.Sprint("s-", i), ok))
+	}
+	g := start(t, nil, hosts...)
+	done := make(chan string, 40)
+	for i := range cap(done) {
+		c := g.dial()
+		go func() {
+			fault := ""
+			for j := range 20 {
+				id := fmt.Sprintf("c%d-%d", i, j)
+				if status, _, body := ask(t, c, lodge(id, id)); status == 200 && body != id+":"+id || status == 0 {
+					fault = fmt.Sprintf("%s: %d %q", id, status, body)
+				}
+			}
+			done <- fault
+		}()
+	}
+	for range cap(done) {
+		if fault := <-done; fault != "" {
+			t.Error(fault)
+		}
+	}
+}
+
+// A host whose connections never come up costs the connect time-out, and the query goes elsewhere.
+func TestConnectionNotUpIsTriedElsewhere(t *testing.T) {
+	mute, live := newHost(t, "s-1", ok), newHost(t, "s-2", ok)
+	mute.ln = fullListener(t)
+	g := start(t, nil, mute, live)
+	for i := range 4 {
+		if status, _, _ := ask(t, g.dial(), lodge(fmt.Sprint("l", i), "x")); status != 200 {
+			t.Errorf("lodge %d: %d", i, status)
+		}
+	}
+}
+
 // More clients than descriptors: idle links give way, and the program sleeps rather than spins.
 func TestShortOfDescriptors(t *testing.T) {
 	h := newHost(t, "s-1", ok)
--- a/internal/clients/link.go
+++ b/internal/clients/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"thymebend"
@@ -9,8 +10,8 @@
 	"thymebend/internal/loop"
 )
 
-// HealthPath is where the front asks whether this gateway is ready.
-const HealthPath = "/healthz"
+// healthPath is where the front asks whether this gateway is ready.
+const healthPath = "/healthz"
 
 // Limits of a client link.
 const (
@@ -20,6 +21,8 @@
 	IdleAfter = 90 * time.Second
 	// RequestWithin is how long a request may take to come whole.
 	RequestWithin = 10 * time.Second
+	// TakenWithin is how long an answer may take to be written out.
+	TakenWithin = 10 * time.Second
 	// LingerFor is how long the end of a link waits for the client's own.
 	LingerFor = time.Second
 )
@@ -40,8 +43,33 @@
 // Feed takes what the client wrote.
 func (l *Link) Feed(data []byte) { l.reader.Feed(data) }
 
-// Next returns the client's next request if it is whole.
-func (l *Link) Next() (*http1.Message, *http1.Fault) { return l.reader.Next() }
+// Asked is what a client asks: a query, a look at the gateway's health, or what cannot be made out.
+type Asked struct {
+	Query  Query
+	Health bool
+	Fault  *http1.Fault
+	Last   bool // the link ends after the answer
+}
+
+// Next returns what the client asks next, once it is whole.
+func (l *Link) Next(classes []thymebend.Class) (asked Asked, whole bool) {
+	m, fault := l.reader.Next()
+	switch {
+	case fault != nil:
+		return Asked{Fault: fault, Last: true}, true // where the next request begins is not known
+	case m == nil:
+		return Asked{}, false
+	}
+	asked.Last = !m.KeepAlive
+	if path, _, _ := strings.Cut(m.Target, "?"); path == healthPath {
+		if asked.Health = true; m.Method != "GET" {
+			asked.Fault = bad("health is asked for with GET")
+		}
+		return asked, true
+	}
+	asked.Query, asked.Fault = read(m, classes)
+	return asked, true
+}
 
 // Pending reports whether a part of a request has come.
 func (l *Link) Pending() bool { return l.reader.Pending() }
@@ -96,6 +124,11 @@
 	return http1.AppendResponse(nil, f.Status, nil, []byte(f.Text+"\n"), keepAlive)
 }
 
+// TooSlow words that a request did not come whole in time.
+func TooSlow() []byte {
+	return Faulty(&http1.Fault{Status: 408, Text: "the request did not come whole"}, false)
+}
+
 // Health words the answer to a look at this gateway's health.
 func Health(ready, keepAlive bool) []byte {
 	if ready {
--- a/internal/clients/query.go
+++ b/internal/clients/query.go
@@ -29,8 +29,8 @@
 	Message  *http1.Message
 }
 
-// Read checks a request against the classes. What it refuses never reaches the module nor a host.
-func Read(m *http1.Message, classes []thymebend.Class) (Query, *http1.Fault) {
+// read checks a request against the classes. What it refuses never reaches the module nor a host.
+func read(m *http1.Message, classes []thymebend.Class) (Query, *http1.Fault) {
 	q := Query{Message: m, Class: -1}
 	path, _, _ := strings.Cut(m.Target, "?")
 	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
@@ -43,31 +43,31 @@
 		return q, &http1.Fault{Status: 404, Text: "no such path"}
 	}
 	if stated, times := m.Get(fieldClass); times != 1 || stated != first {
-		return q, fault(fieldClass + " must name the class of the path")
+		return q, bad(fieldClass + " must name the class of the path")
 	}
 	method := "GET"
 	if classes[q.Class].Effect != thymebend.Safe {
 		method = "POST"
 	}
 	if m.Method != method {
-		return q, fault("the class needs method " + method)
+		return q, bad("the class needs method " + method)
 	}
 	if method == "GET" && len(m.Body) > 0 {
-		return q, fault("a GET has no body")
+		return q, bad("a GET has no body")
 	}
 	if id, times := m.Get(fieldID); times != 1 || id == "" || len(id) > 128 || strings.ContainsAny(id, " \t,") {
-		return q, fault(fieldID + " is missing or malformed")
+		return q, bad(fieldID + " is missing or malformed")
 	}
 	text, times := m.Get(fieldDeadline)
 	patience, ok := span(text)
 	if times != 1 || !ok {
-		return q, fault(fieldDeadline + " is missing or malformed")
+		return q, bad(fieldDeadline + " is missing or malformed")
 	}
 	q.Patience = patience
 	return q, nil
 }
 
-func fault(text string) *http1.Fault { return &http1.Fault{Status: 400, Text: text} }
+func bad(text string) *http1.Fault { return &http1.Fault{Status: 400, Text: text} }
 
 // span reads a number and a unit: m milliseconds or u microseconds.
 func span(s string) (time.Duration, bool) {
--- a/internal/gateway/end.go
+++ b/internal/gateway/end.go
@@ -24,7 +24,7 @@
 	EndServed                 // a whole 200
 	EndLinkIdle               // an idle link was closed in good time, or by the peer
 	EndAnswered               // a client link ended after its last answer
-	EndClientSlow             // a client did not finish its request in time
+	EndClientSlow             // a client did not finish its request or take its answer in time
 	EndListLost               // the watch broke, ended or never came up
 	EndListSilent             // the watch missed its beat
 	EndListGarbled            // the watch brought what is no list
--- a/internal/gateway/fromclients.go
+++ b/internal/gateway/fromclients.go
@@ -1,12 +1,10 @@
 package gateway
 
 import (
-	"strings"
 	"time"
 
 	"thymebend"
 	"thymebend/internal/clients"
-	"thymebend/internal/http1"
 	"thymebend/internal/loop"
 )
 
@@ -101,19 +99,13 @@
 // advance takes the next request of a link, if it is whole and none is in work.
 func (g *Gateway) advance(l *clients.Link) {
 	for !l.Busy && !l.Ended {
-		m, fault := l.Next()
-		switch {
-		case fault != nil:
-			l.Closing = true
-			g.reply(l, clients.Faulty(fault, false))
-			return
-		case m == nil:
+		asked, whole := l.Next(g.cfg.Settings.Config.Classes)
+		if !whole {
 			g.awaitRest(l)
 			return
 		}
-		g.stopTimer(timerClient, uint64(l.Conn))
-		l.Closing = l.Closing || !m.KeepAlive || g.stopping
-		g.take(l, m)
+		l.Closing = l.Closing || asked.Last || g.stopping
+		g.take(l, asked)
 	}
 	if l.Overfull() && !l.Muted {
 		l.Muted = true
@@ -136,25 +128,21 @@
 }
 
 // take answers a request itself or makes it a query of the module's.
-func (g *Gateway) take(l *clients.Link, m *http1.Message) {
+func (g *Gateway) take(l *clients.Link, asked clients.Asked) {
 	l.Timed = false
-	if path, _, _ := strings.Cut(m.Target, "?"); path == clients.HealthPath {
-		if m.Method != "GET" {
-			g.reply(l, clients.Faulty(&http1.Fault{Status: 400, Text: "health is asked for with GET"}, !l.Closing))
-			return
-		}
-		g.reply(l, clients.Health(g.group.Len() > 0 && !g.stopping, !l.Closing))
+	switch {
+	case asked.Fault != nil:
+		g.reply(l, clients.Faulty(asked.Fault, !l.Closing))
 		return
-	}
-	read, fault := clients.Read(m, g.cfg.Settings.Config.Classes)
-	if fault != nil {
-		g.reply(l, clients.Faulty(fault, !l.Closing))
+	case asked.Health:
+		g.reply(l, clients.Health(g.group.Len() > 0 && !g.stopping, !l.Closing))
 		return
-	}
-	if len(g.queries) >= g.cfg.Settings.Gateway.MostOpen {
+	case len(g.queries) >= g.cfg.Settings.Gateway.MostOpen:
 		g.reply(l, clients.Refused(g.cfg.Settings.Config.MaxRetryAfter, !l.Closing))
 		return
 	}
+	g.stopTimer(timerClient, uint64(l.Conn))
+	read := asked.Query
 	g.nextID++
 	q := &query{Query: read, id: g.nextID, client: l.Conn, deadline: g.now + read.Patience}
 	g.queries[q.id] = q
@@ -165,15 +153,22 @@
 
 // reply writes an answer of the gateway's own, to what is no query.
 func (g *Gateway) reply(l *clients.Link, data []byte) {
-	l.Busy, l.Query = true, 0
+	l.Busy = true
+	g.lastWords(l, data)
+}
+
+// lastWords writes an answer and bounds the time for the client to take it: one that never reads must not hold
+// its link, nor the program's end, for ever.
+func (g *Gateway) lastWords(l *clients.Link, data []byte) {
+	l.Query = 0
+	g.setTimer(timerClient, uint64(l.Conn), g.now+clients.TakenWithin)
 	g.write(l.Conn, data)
 }
 
 // answer writes a query's final answer.
 func (g *Gateway) answer(q *query, l *clients.Link, data []byte) {
-	l.Query = 0
 	q.client = 0
-	g.write(l.Conn, data)
+	g.lastWords(l, data)
 }
 
 // flushed goes on once an answer is written out: with the next request, or with the end of the link.
@@ -213,10 +208,12 @@
 	case l == nil:
 	case l.Ended:
 		g.dropClient(l, EndAnswered)
+	case l.Busy && l.Query == 0:
+		g.dropClient(l, EndClientSlow)
 	case l.Busy:
 	case l.Pending():
 		l.Closing = true
-		g.reply(l, clients.Faulty(&http1.Fault{Status: 408, Text: "the request did not come whole"}, false))
+		g.reply(l, clients.TooSlow())
 	default:
 		g.lookAndClose(l)
 	}
--- a/internal/loop/sockets.go
+++ b/internal/loop/sockets.go
@@ -95,7 +95,6 @@
 			return
 		}
 	}
-	l.tell(Event{Kind: Readable, Conn: s.conn}) // there may be more
 }
 
 func (l *Loop) dial(f Effect) {
--- a/internal/servers/pool.go
+++ b/internal/servers/pool.go
@@ -158,7 +158,10 @@
 // AppendRequest words a client's request for a host: unchanged but for the fields of the connection and the
 // time that is left.
 func AppendRequest(dst []byte, m *http1.Message, left time.Duration) []byte {
-	fields := make([]http1.Field, 0, len(m.Fields)+1)
+	fields := make([]http1.Field, 0, len(m.Fields)+2)
+	if _, hosts := m.Get("Host"); hosts == 0 {
+		fields = append(fields, http1.Field{Name: "Host"}) // HTTP/1.0 goes without, HTTP/1.1 must not
+	}
 	for _, f := range m.Fields {
 		if !m.Hop(f.Name) && !strings.EqualFold(f.Name, fieldDeadline) {
 			fields = append(fields, f)
