Reread the configuration at SIGHUP and move the watch to discovery's new address

Checked: exit code 129 is SIGHUP's default action. loop.NotifyStop (internal/loop/loop.go) asked for SIGTERM and SIGINT only and took one signal in all; nothing read LB_CONFIG again. Ruled out: a crash of our own, as the log has no panic. Change: the loop tells Reload for each SIGHUP; the reducer asks for the file, reads it and moves the watch. The old watch counts until the new address has answered, a failed call is made again after 200 ms, and a faulty file is logged and changes nothing. The file's discovery wins over LB_DISCOVERY from then on.

--- a/cmd/thymebend/helper_test.go
+++ b/cmd/thymebend/helper_test.go
@@ -163,7 +163,8 @@
 	t    *testing.T
 	cmd  *exec.Cmd
 	addr string
-	log  *bytes.Buffer
+	path string // of its configuration
+	log  *logBuffer
 	disc *discovery
 	done chan error
 }
@@ -216,7 +217,9 @@
 func startWith(t *testing.T, edit map[string]any, known string, d *discovery) *rig {
 	t.Helper()
 	cmd, addr := configure(t, known, d.ln.Addr().String(), edit)
-	r := &rig{t: t, cmd: cmd, addr: addr, log: &bytes.Buffer{}, disc: d, done: make(chan error, 1)}
+	path := strings.TrimPrefix(cmd.Env[len(cmd.Env)-2], "LB_CONFIG=")
+	cmd.Env = append(cmd.Env, "LB_DISCOVERY="+d.ln.Addr().String())
+	r := &rig{t: t, cmd: cmd, addr: addr, path: path, log: &logBuffer{}, disc: d, done: make(chan error, 1)}
 	cmd.Stderr = r.log
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
@@ -244,6 +247,39 @@
 	return r
 }
 
+// logBuffer is the program's log, read while it is written.
+type logBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+func (l *logBuffer) String() string { l.mu.Lock(); defer l.mu.Unlock(); return l.b.String() }
+
+// reload replaces a field of the configuration and sends SIGHUP.
+func (r *rig) reload(field string, value any) {
+	r.t.Helper()
+	fields := map[string]any{}
+	raw, err := os.ReadFile(r.path)
+	if err == nil {
+		err = json.Unmarshal(raw, &fields)
+	}
+	fields[field] = value
+	if raw, _ = json.Marshal(fields); err == nil {
+		err = os.WriteFile(r.path, raw, 0o600)
+	}
+	if err == nil {
+		err = r.cmd.Process.Signal(syscall.SIGHUP)
+	}
+	if err != nil {
+		r.t.Fatal(err)
+	}
+}
+
 // exit waits for the program's end and returns its exit code.
 func (r *rig) exit() int {
 	r.t.Helper()
--- a/cmd/thymebend/life_test.go
+++ b/cmd/thymebend/life_test.go
@@ -257,3 +257,50 @@
 		}
 	}
 }
+
+// At a reload the file's discovery wins over the environment's. The old watch counts until the new address has
+// answered; a faulty file changes nothing; a stop right after a reload is a stop like any other.
+func TestReloadMovesTheWatch(t *testing.T) {
+	a, b := newHost(t, "s-1", ok), newHost(t, "s-2", ok)
+	whole, answers := list(1, true, entry(a, "up"), entry(b, "up")), make(chan string)
+	next := newDiscovery(t, func(int) string { return <-answers })
+	g := start(t, nil, a, b)
+	<-g.disc.calls
+	g.reload("seed", "what")
+	until(t, "the fault to be logged", func() bool { return strings.Contains(g.log.String(), "seed \\\"what") })
+	g.reload("seed", "8c1f30d27a5be964")
+	g.reload("discovery", next.ln.Addr().String())
+	<-next.calls
+	g.disc.tell <- list(2, false, entry(a, "draining"))
+	g.disc.tell <- list(3, false)
+	answers <- "" // a call that fails is made again
+	if call := <-next.calls; !strings.HasSuffix(call, "index=3") {
+		t.Errorf("the new address is asked %q, want what the old one told last", call)
+	}
+	_, before, _ := a.seen()
+	answers <- list(4, false)
+	next.tell <- list(5, true, entry(b, "up"))
+	next.tell <- list(6, false)
+	for i := range 8 {
+		if status, _, _ := ask(t, g.dial(), view(fmt.Sprint("v", i), 900)); status != 200 {
+			t.Errorf("view: %d", status)
+		}
+	}
+	if _, after, _ := a.seen(); after != before {
+		t.Errorf("%d executions went to a host that drains", after-before)
+	}
+	for range 3 { // the address of the first watch again, and back
+		g.reload("discovery", g.disc.ln.Addr().String())
+		<-g.disc.calls
+		g.reload("discovery", next.ln.Addr().String())
+		<-next.calls
+		answers <- whole
+	}
+	g.reload("discovery", g.disc.ln.Addr().String())
+	if err := g.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if code := g.exit(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+}
--- a/cmd/thymebend/main.go
+++ b/cmd/thymebend/main.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		return err
 	}
-	l.NotifyStop(syscall.SIGTERM, syscall.SIGINT)
+	l.Notify(syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
 	log.Info().Stringer("listen", cfg.Listen).Msg("started")
 	return l.Run(gateway.New(cfg, log))
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -21,6 +21,7 @@
 	Limits    Limits
 	Known     json.RawMessage // the host list as last had, in discovery's form; may be empty
 	Settings  settings.Settings
+	Path      string // of the file, to be read again at a reload
 }
 
 // Limits are those of the machine.
@@ -36,7 +37,7 @@
 	leastMemory  = 16
 )
 
-// Load reads the environment and the file. The environment goes first where both tell the same.
+// Load reads the environment and the file that it names.
 func Load(getenv func(string) string) (Config, error) {
 	path := getenv("LB_CONFIG")
 	if path == "" {
@@ -46,6 +47,19 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("LB_CONFIG: %w", err)
 	}
+	told := Config{Name: getenv("LB_NAME"), Path: path}
+	return told.read(raw, getenv("LB_LISTEN"), getenv("LB_DISCOVERY"))
+}
+
+// Reload reads the file's new text. The program keeps its name and its listening socket; discovery is the
+// file's alone, for the environment still tells what the file has replaced.
+func (c Config) Reload(raw []byte) (Config, error) {
+	return Config{Name: c.Name, Path: c.Path}.read(raw, c.Listen.String(), "")
+}
+
+// read takes a file's text. What is told beside it goes first where both tell the same.
+func (c Config) read(raw []byte, listen, discovery string) (Config, error) {
+	var err error
 	var file struct {
 		Name      string          `json:"name"`
 		Listen    string          `json:"listen"`
@@ -56,16 +70,16 @@
 		Settings  json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(raw, &file); err != nil {
-		return Config{}, fmt.Errorf("LB_CONFIG: %s: %w", path, err)
+		return c, fmt.Errorf("LB_CONFIG: %s: %w", c.Path, err)
 	}
-	c := Config{Name: either(getenv("LB_NAME"), file.Name), Limits: file.Limits, Known: file.Known}
+	c.Name, c.Limits, c.Known = either(c.Name, file.Name), file.Limits, file.Known
 	if c.Name == "" {
 		return c, fmt.Errorf("name is missing (LB_NAME)")
 	}
-	if c.Listen, err = address("listen", either(getenv("LB_LISTEN"), file.Listen)); err != nil {
+	if c.Listen, err = address("listen", either(listen, file.Listen)); err != nil {
 		return c, err
 	}
-	if c.Discovery, err = address("discovery", either(getenv("LB_DISCOVERY"), file.Discovery)); err != nil {
+	if c.Discovery, err = address("discovery", either(discovery, file.Discovery)); err != nil {
 		return c, err
 	}
 	if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -95,8 +95,13 @@
 
 // Watch implements thymebend.Actions.
 func (g *Gateway) Watch() {
-	g.dropWatch(EndListReplace, nil)
-	g.openWatch()
+	if g.moving != nil {
+		return // the call under way answers this one
+	}
+	if g.watch != nil {
+		g.dropWatch(g.watch, EndListReplace, nil)
+	}
+	g.watch = g.openWatch()
 }
 
 // Log implements thymebend.Actions.
--- a/internal/gateway/fromlist.go
+++ b/internal/gateway/fromlist.go
@@ -1,51 +1,108 @@
 package gateway
 
 import (
+	"time"
+
 	"thymebend"
 	"thymebend/internal/hostgroup"
 	"thymebend/internal/loop"
 )
 
-func (g *Gateway) openWatch() {
-	w := hostgroup.NewWatch(g.pool.NextConn())
-	g.watch = w
-	g.ask(loop.Effect{Op: loop.Dial, Conn: w.Conn, Addr: g.cfg.Discovery, Urgent: true})
-	g.setTimer(timerWatch, 0, g.now+w.Patience())
+// moveAgain is how soon discovery's new address is asked again after a call that failed, while the old watch
+// stands: what discovery has to tell counts as told 4 s after a reload, and the old address is about to close.
+const moveAgain = 200 * time.Millisecond
+
+// openWatch calls discovery where the configuration now has it.
+func (g *Gateway) openWatch() *hostgroup.Watch {
+	w := hostgroup.NewWatch(g.pool.NextConn(), g.cfg.Discovery)
+	g.ask(loop.Effect{Op: loop.Dial, Conn: w.Conn, Addr: w.Addr, Urgent: true})
+	g.setTimer(timerWatch, uint64(w.Conn), g.now+w.Patience())
+	return w
+}
+
+func (g *Gateway) watchOn(c loop.Conn) *hostgroup.Watch {
+	for _, w := range [...]*hostgroup.Watch{g.watch, g.moving} {
+		if w != nil && w.Conn == c {
+			return w
+		}
+	}
+	return nil
+}
+
+// reload takes the configuration's new text. Discovery may have moved; the rest is fixed at the start. A
+// faulty file changes nothing: the program is worth more running as before.
+func (g *Gateway) reload(raw []byte, err error) {
+	fresh := g.cfg
+	if err == nil {
+		fresh, err = g.cfg.Reload(raw)
+	}
+	if err != nil {
+		g.log.Error().Err(err).Msg("reload: configuration refused, all stays as it was")
+		return
+	}
+	g.log.Info().Stringer("discovery", fresh.Discovery).Msg("reload")
+	if g.cfg.Discovery == fresh.Discovery {
+		return
+	}
+	g.cfg.Discovery = fresh.Discovery
+	g.move()
+}
+
+// move asks discovery's address at once. A watch that has answered stands until the new one has: a gap in it
+// would be a gap in what drains.
+func (g *Gateway) move() {
+	g.stopTimer(timerMove, 0)
+	if g.moving != nil {
+		g.dropWatch(g.moving, EndListReplace, nil)
+	}
+	if g.watch != nil && !g.watch.Started() {
+		g.dropWatch(g.watch, EndListReplace, nil)
+	}
+	if w := g.openWatch(); g.watch == nil {
+		g.watch = w
+	} else {
+		g.moving = w
+	}
 }
 
-func (g *Gateway) watchEvent(e loop.Event) {
+func (g *Gateway) watchEvent(w *hostgroup.Watch, e loop.Event) {
 	switch e.Kind {
 	case loop.Connected:
-		g.write(e.Conn, g.group.Request(g.cfg.Discovery))
+		g.write(e.Conn, g.group.Request(w.Addr))
 	case loop.Readable:
 		g.ask(loop.Effect{Op: loop.Read, Conn: e.Conn})
 	case loop.Data:
-		g.watchData(e.Data)
+		g.watchData(w, e.Data)
 	case loop.EOF, loop.Broken:
-		g.watchEnds(EndListLost, e.Err)
+		g.watchEnds(w, EndListLost, e.Err)
 	}
 }
 
 // watchData applies whole lines. The first line answers the call even if it is a mere beat.
-func (g *Gateway) watchData(data []byte) {
-	first := !g.watch.Started()
-	lines, ended, err := g.watch.Feed(data)
+func (g *Gateway) watchData(w *hostgroup.Watch, data []byte) {
+	first := !w.Started()
+	lines, ended, err := w.Feed(data)
 	if err != nil {
-		g.watchEnds(EndListGarbled, err)
+		g.watchEnds(w, EndListGarbled, err)
 		return
 	}
 	for _, line := range lines {
 		if len(line) == 0 && !first {
 			continue
 		}
-		first = false
 		var news hostgroup.News
 		if len(line) > 0 {
 			if news, err = g.group.Apply(line); err != nil {
-				g.watchEnds(EndListGarbled, err)
+				g.watchEnds(w, EndListGarbled, err)
 				return
 			}
 		}
+		if first = false; w == g.moving {
+			if g.watch != nil {
+				g.dropWatch(g.watch, EndListReplace, nil)
+			}
+			g.watch, g.moving = w, nil
+		}
 		kind := thymebend.ListDelta
 		if news.Whole {
 			kind = thymebend.ListFull
@@ -55,29 +112,33 @@
 		g.module.List(g.now, kind, news.Entries)
 	}
 	if ended {
-		g.watchEnds(EndListLost, nil)
+		g.watchEnds(w, EndListLost, nil)
 		return
 	}
-	if g.watch != nil {
-		g.setTimer(timerWatch, 0, g.now+g.watch.Patience())
-	}
+	g.setTimer(timerWatch, uint64(w.Conn), g.now+w.Patience())
 }
 
-// watchEnds ends the watch and has the module told, which asks again when it sees fit.
-func (g *Gateway) watchEnds(end End, err error) {
-	if g.watch == nil {
-		return
+// watchEnds ends a watch. Where no other is left, the module is told and asks again when it sees fit.
+func (g *Gateway) watchEnds(w *hostgroup.Watch, end End, err error) {
+	moving := w == g.moving
+	g.dropWatch(w, end, err)
+	switch {
+	case g.watch == nil && g.moving != nil:
+		g.watch, g.moving = g.moving, nil // the old address has closed before the new one answered
+	case g.watch == nil:
+		g.lost = true
+	case moving:
+		g.setTimer(timerMove, 0, g.now+moveAgain)
 	}
-	g.dropWatch(end, err)
-	g.lost = true
 }
 
-func (g *Gateway) dropWatch(end End, err error) {
-	if g.watch == nil {
-		return
+func (g *Gateway) dropWatch(w *hostgroup.Watch, end End, err error) {
+	g.log.Info().Stringer("end", end).Stringer("discovery", w.Addr).AnErr("cause", err).Msg("watch")
+	g.stopTimer(timerWatch, uint64(w.Conn))
+	g.close(w.Conn)
+	if w == g.watch {
+		g.watch = nil
+	} else {
+		g.moving = nil
 	}
-	g.log.Info().Stringer("end", end).AnErr("cause", err).Msg("watch")
-	g.stopTimer(timerWatch, 0)
-	g.close(g.watch.Conn)
-	g.watch = nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	timerWatch
 	timerAccept
 	timerStop
+	timerMove
 )
 
 // The budget of descriptors: a few are the program's own, the rest is shared out, so that neither a crowd of
@@ -88,8 +89,9 @@
 	pool     *servers.Pool
 	group    *hostgroup.Group
 	watch    *hostgroup.Watch
-	lost     bool // the watch ended; the module is told once it has returned
-	paused   bool // the listener is muted
+	moving   *hostgroup.Watch // asks discovery's new address while the old watch stands
+	lost     bool             // the watch ended; the module is told once it has returned
+	paused   bool             // the listener is muted
 	stopping bool
 	closed   bool // the listener is closed
 }
@@ -115,6 +117,10 @@
 		g.start()
 	case loop.Stop:
 		g.stop()
+	case loop.Reload:
+		g.ask(loop.Effect{Op: loop.ReadFile, Path: g.cfg.Path})
+	case loop.File:
+		g.reload(e.Data, e.Err)
 	case loop.TimerDue:
 		g.timerDue(e.Timer)
 	case loop.Turn:
@@ -182,8 +188,8 @@
 		g.accepted(e.Conn)
 		return
 	}
-	if g.watch != nil && g.watch.Conn == e.Conn {
-		g.watchEvent(e)
+	if w := g.watchOn(e.Conn); w != nil {
+		g.watchEvent(w, e)
 		return
 	}
 	if l := g.links.ByConn[e.Conn]; l != nil {
@@ -211,7 +217,13 @@
 	case timerExecution:
 		g.executionTimer(t.ID)
 	case timerWatch:
-		g.watchEnds(EndListSilent, nil)
+		if w := g.watchOn(loop.Conn(t.ID)); w != nil {
+			g.watchEnds(w, EndListSilent, nil)
+		}
+	case timerMove:
+		if g.watch == nil || g.watch.Addr != g.cfg.Discovery {
+			g.move()
+		}
 	case timerAccept:
 		g.resume()
 	case timerStop:
--- a/internal/hostgroup/watch.go
+++ b/internal/hostgroup/watch.go
@@ -24,14 +24,15 @@
 // Watch is one call for the changes of the list.
 type Watch struct {
 	Conn    loop.Conn
+	Addr    netip.AddrPort
 	reader  http1.Reader
 	pending []byte
 	started bool // its first line has come
 }
 
-// NewWatch prepares a watch on a connection.
-func NewWatch(conn loop.Conn) *Watch {
-	return &Watch{Conn: conn, reader: http1.Reader{Response: true, Stream: true}}
+// NewWatch prepares a watch of discovery at an address, on a connection.
+func NewWatch(conn loop.Conn, at netip.AddrPort) *Watch {
+	return &Watch{Conn: conn, Addr: at, reader: http1.Reader{Response: true, Stream: true}}
 }
 
 // Request is the call for what changed since the list that the group has.
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -12,10 +12,11 @@
 
 // Sizes of one turn of the loop.
 const (
-	readSize   = 64 << 10
-	mostReady  = 256
-	mostAccept = 64 // sockets accepted before others get a turn
-	backlog    = 1024
+	readSize    = 64 << 10
+	mostReady   = 256
+	mostAccept  = 64 // sockets accepted before others get a turn
+	backlog     = 1024
+	mostSignals = 16
 )
 
 // socket is one non-blocking socket.
@@ -34,7 +35,9 @@
 type Loop struct {
 	clock    Clock
 	epoll    int
-	wake     int // an eventfd, written when a signal came
+	wake     int            // an eventfd, written when a signal came
+	signals  chan os.Signal // those not told yet
+	reload   os.Signal
 	byConn   map[Conn]*socket
 	byFD     map[int]*socket
 	accepted Conn
@@ -86,14 +89,17 @@
 	return nil
 }
 
-// NotifyStop tells the reducer Stop once one of the signals comes.
-func (l *Loop) NotifyStop(signals ...os.Signal) {
-	came := make(chan os.Signal, 1)
-	signal.Notify(came, signals...)
+// Notify tells the reducer Reload each time that the one signal comes, and Stop when one of the others does.
+func (l *Loop) Notify(reload os.Signal, stop ...os.Signal) {
+	came := make(chan os.Signal, mostSignals)
+	l.reload, l.signals = reload, make(chan os.Signal, mostSignals)
+	signal.Notify(came, append(stop, reload)...)
 	go func() {
-		<-came
-		one := [8]byte{1}
-		_, _ = unix.Write(l.wake, one[:]) // an eventfd takes eight bytes whole
+		for s := range came {
+			l.signals <- s
+			one := [8]byte{1}
+			_, _ = unix.Write(l.wake, one[:]) // an eventfd takes eight bytes whole
+		}
 	}()
 }
 
@@ -159,7 +165,18 @@
 func (l *Loop) signalled() {
 	var count [8]byte
 	_, _ = unix.Read(l.wake, count[:]) // empties it; nothing else reads it
-	l.tell(Event{Kind: Stop})
+	for {
+		select {
+		case s := <-l.signals:
+			kind := Stop
+			if s == l.reload {
+				kind = Reload
+			}
+			l.tell(Event{Kind: kind})
+		default:
+			return
+		}
+	}
 }
 
 // happened turns what epoll says of a socket into events.
@@ -187,6 +204,10 @@
 	case StopTimer:
 		l.timers.stop(f.Timer)
 		return
+	case ReadFile:
+		data, err := os.ReadFile(f.Path)
+		l.tell(Event{Kind: File, Data: data, Err: err})
+		return
 	case Again:
 		l.again = true
 		return
--- a/internal/loop/types.go
+++ b/internal/loop/types.go
@@ -27,7 +27,8 @@
 type Kind uint8
 
 // The events. Data, Drained, EOF and Broken answer a Read; Flushed and Broken answer a Write; Connected and
-// Broken answer a Dial; Stale answers a WriteQuiet on a socket whose peer has spoken or left meanwhile.
+// Broken answer a Dial; Stale answers a WriteQuiet on a socket whose peer has spoken or left meanwhile; File
+// answers a ReadFile.
 const (
 	Readable Kind = iota
 	Accepted
@@ -42,6 +43,8 @@
 	TimerDue
 	Start // once, before anything else
 	Stop
+	Reload // the program is told to read its configuration anew
+	File
 	Turn // all that was ready has been told
 )
 
@@ -70,6 +73,7 @@
 	Unmute
 	SetTimer
 	StopTimer
+	ReadFile // the file at Path, whole
 	Again
 	Exit
 )
@@ -81,6 +85,7 @@
 	Urgent bool // with Dial: its news are told before those of other sockets
 	Addr   netip.AddrPort
 	Data   []byte
+	Path   string
 	Timer  Timer
 	At     time.Duration
 	Failed error // with Exit: what the program could not start for
