Judge each class at each host by itself, so that a host mute for bids gets only views

Checked: a trace of every answer and end by host and class. From 5.6 s four of eight hosts answered each view in 4 to 8 ms and no bid at all; each bid hung there until its client's time ran out (740 to 840 ms). Ruled out: links (new ones hung alike), overload (the reports said 0 waiting), the release of hosts itself. At fault in balancer.go: checkSilence and failed judge a host as a whole, so each view answered 'healed' it and the next bid was lost there; and the hanging bid filled a limit of one, so that the host got no views either. Change: for each class at each host the module keeps since when it is unanswered. After twice the time of silence the class is mute: it gets a trial at growing intervals, one request at a time, and what hangs no longer counts against the host's limit while other work is answered.

--- a/balancer.go
+++ b/balancer.go
@@ -6,16 +6,8 @@
 // with most room under its limit ceil(u), which an adaptive integral loop steers by service time. A
 // threshold psi bounds the wait, and a slower loop splits the response aim between waiting and service.
 //
-// Outline, in the order in which events flow:
-//
-//	settings         constants, each with its reason
-//	events           what the gateway tells; Dispatch
-//	queue, dispatch  holding, choosing a server, sending
-//	limit loops      service-time samples, u, psi, the top-level loop
-//	health           failures, silence, ejection and trial, cold servers
-//	attempts         how an attempt ends, time-outs, what may be sent again
-//	refusals         how long a request is held, over-share and low-worth work
-//	server list      following the list, watching it
+// Sections follow the flow of events: settings, events, queue and dispatch, limit loops, health, attempts,
+// refusals, server list.
 package thymebend
 
 import (
@@ -76,11 +68,7 @@
 )
 
 // Timer tokens.
-const (
-	tokenSample uint32 = iota
-	tokenQueue
-	tokenWatch
-)
+const tokenSample, tokenQueue, tokenWatch uint32 = 0, 1, 2
 
 // Balancer takes the decisions of one gateway.
 type Balancer struct {
@@ -110,15 +98,12 @@
 
 	retryTokens float64
 	queueArmed  bool
-	noRoom      [2][3]bool // by effect: seen in this Dispatch, see pick
-	warmRate    float64    // answers of a warm server to all gateways, a second, as far as seen here
+	warmRate    float64 // answers of a warm server to all gateways, a second, as far as seen here
 
-	asking   bool // a call to the list is unanswered
-	watching bool
-	askedAt  time.Duration
-	askFails int
-	loggedAt time.Duration
-	logged   bool
+	asking, watching bool // asking: a call to the list is unanswered
+	askedAt          time.Duration
+	askFails         int
+	loggedAt         time.Duration // 0 is never
 }
 
 // classState is what is learnt about a class.
@@ -132,6 +117,7 @@
 	hold     [2]time.Duration // how long it is held while room is short, within and over share
 	expected time.Duration
 	patience time.Duration // of most requests: of first tries
+	noRoom   [2]bool       // seen in this Dispatch, see pick
 	agreed   int           // how many more had it lately than had not
 }
 
@@ -181,27 +167,33 @@
 	member   bool    // one of those that this gateway uses
 	inflight int
 	out      []RequestID // whose attempts are in flight
-
-	u        float64 // the limit before rounding up
-	gain     float64 // K, ms of service for each request in flight; 0 is unknown
-	base     float64 // service time uncrowded, ms; 0 is unknown
-	smooth   average // service time lately, ms
-	sum      float64 // of this sample's service times
-	answers  int
-	failures int
-	backlog  float64 // requests waiting at the server as its answers report, smoothed; 0 if they do not
-	bound    bool    // was full while requests were held, in this sample
-
-	failShare  float64
-	heard      time.Duration // last answer, or the send that ended idleness
-	restUntil  time.Duration // after a fast failure
-	ejected    bool
-	silent     bool // ejected for silence
-	trialAt    time.Duration
-	ejections  int
-	fulls      int // full refusals since its last answer
-	coldTokens float64
-	coldAt     time.Duration
+	kinds    []kind      // by class
+
+	u                 float64 // the limit before rounding up
+	gain              float64 // K, ms of service for each request in flight; 0 is unknown
+	base              float64 // service time uncrowded, ms; 0 is unknown
+	smooth            average // service time lately, ms
+	sum               float64 // of this sample's service times
+	answers, failures int     // of this sample
+	backlog           float64 // requests waiting at the server as its answers report, smoothed; else 0
+	bound             bool    // was full while requests were held, in this sample
+
+	failShare        float64
+	heard            time.Duration // last answer, or the send that ended idleness
+	restUntil        time.Duration // after a fast failure
+	ejected          bool
+	silent           bool // ejected for silence
+	trialAt          time.Duration
+	ejections, fulls int // fulls are the full refusals since its last answer
+	coldTokens       float64
+	coldAt           time.Duration
+}
+
+// kind is how one class fares at one server: attempts in flight; the first send since the last answer, while
+// one is out or the class is mute, else 0; and when a mute class has its next trial.
+type kind struct {
+	out, tries   int
+	since, tryAt time.Duration
 }
 
 // New starts a balancer. It may act at once.
@@ -292,7 +284,10 @@
 // Dispatch releases what there is room for, refuses what has waited too long and holds the rest. It is
 // called once after the events that arrived together.
 func (b *Balancer) Dispatch(now time.Duration) {
-	b.now, b.noRoom = now, [2][3]bool{}
+	b.now = now
+	for i := range b.classes {
+		b.classes[i].noRoom = [2]bool{}
+	}
 	if b.stale {
 		b.choose()
 	}
@@ -349,7 +344,7 @@
 // markBound notes which limits stand in the way of held requests; only these may integrate upward.
 func (b *Balancer) markBound() {
 	for _, s := range b.members {
-		if s.inflight >= b.limit(s) || b.now < s.restUntil {
+		if b.busy(s) >= b.limit(s) || b.now < s.restUntil {
 			s.bound = true
 		}
 	}
@@ -367,7 +362,7 @@
 	n, c := len(from), &b.classes[r.Class]
 	wait := scale(c.Aim, min(b.cfg.CrossZonePrice, 1-gamma))
 	cross := !fresh || b.now-r.arrived >= wait
-	noRoom := &b.noRoom[index(cross)][c.Effect]
+	noRoom := &c.noRoom[index(cross)]
 	if n == 0 || fresh && *noRoom {
 		return nil
 	}
@@ -379,7 +374,7 @@
 		if s.Zone != b.cfg.Zone && !cross || !b.usable(s, r) {
 			continue
 		}
-		rank, room := b.rank(s), b.limit(s)-s.inflight
+		rank, room := b.rank(s), b.limit(s)-b.busy(s)
 		if best == nil || rank < bestRank || rank == bestRank && room > bestRoom {
 			best, bestRank, bestRoom = s, rank, room
 		}
@@ -392,7 +387,9 @@
 
 // usable reports whether s may get r now.
 func (b *Balancer) usable(s *server, r *request) bool {
-	return s.State == Ready && b.now >= s.restUntil && s.inflight < b.limit(s) &&
+	k := &s.kinds[r.Class]
+	return s.State == Ready && b.now >= s.restUntil && b.busy(s) < b.limit(s) &&
+		(!b.mute(s, r.Class) || k.out == 0 && b.now >= k.tryAt) &&
 		(!s.ejected || b.mayTry(s, r)) && b.mayResend(r, s) && b.coldRoom(s)
 }
 
@@ -420,11 +417,19 @@
 	r.attempts = append(r.attempts, attempt{server: s, sent: b.now})
 	r.open++
 	r.queued = false
-	if s.inflight == 0 {
+	if b.busy(s) == 0 {
 		s.heard = b.now
 	}
 	s.inflight++
 	s.out = append(s.out, r.ID)
+	k := &s.kinds[r.Class]
+	if b.mute(s, r.Class) {
+		k.tryAt = b.now + scale(b.meanAim(), float64(int(1)<<min(k.tries, maxBackoff+1)))
+		k.tries++
+	} else if k.since == 0 {
+		k.since = b.now
+	}
+	k.out++
 	if b.coldness(s) < 1 {
 		s.coldTokens--
 	}
@@ -639,7 +644,7 @@
 // the attempts time out, and unsafe ones have none.
 func (b *Balancer) checkSilence(s *server) {
 	limit := scale(time.Millisecond, silenceFactor*max(b.mean, s.smooth.mean))
-	if s.inflight == 0 || s.ejected || b.mean == 0 || b.now-s.heard < limit {
+	if b.busy(s) == 0 || s.ejected || b.mean == 0 || b.now-s.heard < limit {
 		return
 	}
 	b.eject(s, "is silent")
@@ -673,6 +678,25 @@
 	s.trialAt = b.now + backoff
 }
 
+// mute reports whether s leaves a class unanswered. Guards against a server that answers one class at once
+// and another never, and looks healthy as a whole. Twice the time of silence: heavy work is no sign of it.
+func (b *Balancer) mute(s *server, class int) bool {
+	k, usual := &s.kinds[class], max(ms(b.classes[class].expected), s.smooth.mean)
+	return k.since > 0 && b.now-k.since > scale(time.Millisecond, 2*silenceFactor*usual)
+}
+
+// busy is what s has in flight. What hangs of a mute class while other work is answered does not count: it
+// must not take the place of that work.
+func (b *Balancer) busy(s *server) int {
+	n := s.inflight
+	for i := range s.kinds {
+		if k := &s.kinds[i]; k.out > 0 && s.heard > k.since && b.mute(s, i) {
+			n -= k.out
+		}
+	}
+	return n
+}
+
 // mayTry reports whether r may try an ejected server: one request at a time, when the trial is due, and
 // only one that can be repeated if it fails.
 func (b *Balancer) mayTry(s *server, r *request) bool {
@@ -731,7 +755,12 @@
 	at := slices.Index(a.server.out, r.ID)
 	a.server.out = slices.Delete(a.server.out, at, at+1)
 	r.open--
+	k := &a.server.kinds[r.Class]
+	k.out--
 	b.judge(r, a, e)
+	if k.out == 0 && !b.mute(a.server, r.Class) { // a time-out leaves it mute, until a trial is answered
+		k.since = 0
+	}
 	if !a.server.member && a.server.inflight == 0 {
 		b.out.Close(a.server.ID)
 	}
@@ -751,6 +780,7 @@
 	}
 	switch e.Outcome {
 	case OK:
+		s.kinds[r.Class] = kind{out: s.kinds[r.Class].out, since: b.now} // heard of: no longer mute
 		b.learn(r, s, e.Latency)
 		b.succeeded(s)
 		b.pace(s, min(ms(e.Latency), 2*max(b.mean, s.smooth.mean))) // single heavy requests tell little
@@ -1224,7 +1254,7 @@
 	if e.State == Gone {
 		return
 	}
-	s = &server{Server: e, listed: true, coldAt: b.now}
+	s = &server{Server: e, listed: true, coldAt: b.now, kinds: make([]kind, len(b.classes))}
 	s.coldTokens = -b.rng.Float64()
 	b.byID[e.ID] = s
 	b.servers = append(b.servers, s)
@@ -1258,10 +1288,10 @@
 
 // log writes a line for the people on call, at most about one a second.
 func (b *Balancer) log(format string, args ...any) {
-	if b.logged && b.now-b.loggedAt < time.Second {
+	if b.loggedAt > 0 && b.now-b.loggedAt < time.Second {
 		return
 	}
-	b.logged, b.loggedAt = true, b.now
+	b.loggedAt = b.now
 	b.out.Log(fmt.Sprintf(format, args...))
 }
 
--- a/cmd/thymebend/life_test.go
+++ b/cmd/thymebend/life_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -304,3 +305,52 @@
 		t.Errorf("exit code %d", code)
 	}
 }
+
+// A host that answers one class at once and never another gets hardly any of the other class, and what hangs
+// there does not keep the first class from it.
+func TestHostMuteForOneClass(t *testing.T) {
+	hang := make(chan bool)
+	defer close(hang)
+	var lodged, viewed atomic.Int32
+	work := func() func(net.Conn, *http.Request, string) { // one request after another, as one core would
+		var core sync.Mutex
+		return func(c net.Conn, r *http.Request, body string) {
+			core.Lock()
+			defer core.Unlock()
+			time.Sleep(3 * time.Millisecond)
+			ok(c, r, body)
+		}
+	}
+	answer := work()
+	half := newHost(t, "s-1", func(c net.Conn, r *http.Request, body string) {
+		if r.Method == "POST" {
+			lodged.Add(1)
+			<-hang
+			return
+		}
+		viewed.Add(1)
+		answer(c, r, body)
+	})
+	g := start(t, nil, half, newHost(t, "s-2", work()))
+	var done sync.WaitGroup
+	began := time.Now()
+	for i := range 8 {
+		done.Go(func() {
+			c, err := net.Dial("tcp", g.addr)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer c.Close()
+			for j := 0; time.Since(began) < 3*time.Second; j++ {
+				id := fmt.Sprintf("%d-%d", i, j)
+				ask(t, c, view("v"+id, 400))
+				ask(t, c, strings.Replace(lodge("l"+id, "x"), "2500m", "400m", 1))
+			}
+		})
+	}
+	done.Wait()
+	if n, v := lodged.Load(), viewed.Load(); n > 12 || v < 200 {
+		t.Errorf("%d bids and %d views went to a host that answers no bid", n, v)
+	}
+}
