Read the load report's waiting requests under the settings' name, pending

Checked: raw reports of hosts, 'TEXT pending=1.672, busy_reqs=2.720, failed_ps=0': the fields go by the names in report.columns. Ruled out: missing reports (each answer had one) and the settings (Waiting was found).

--- a/cmd/thymebend/helper_test.go
+++ b/cmd/thymebend/helper_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -99,7 +100,41 @@
 
 // ok answers 200 with the id and the request's body.
 func ok(c net.Conn, r *http.Request, body string) {
-	say(c, "200 OK", "Endpoint-Load-Metrics: TEXT inflight=1, queue=0\r\nX-Kept: yes\r\n", r.Header.Get("X-Trace-Id")+":"+body)
+	say(c, "200 OK", "Endpoint-Load-Metrics: TEXT busy_reqs=1, pending=0\r\nX-Kept: yes\r\n", r.Header.Get("X-Trace-Id")+":"+body)
+}
+
+// oneCore returns an answer that takes one request after another, and counts the most that wait for it at once.
+func oneCore(most *atomic.Int32, load string) func(net.Conn, *http.Request, string) {
+	var core sync.Mutex
+	var held atomic.Int32
+	return func(c net.Conn, r *http.Request, body string) {
+		if n := held.Add(1); n > most.Load() {
+			most.Store(n)
+		}
+		core.Lock()
+		defer core.Unlock()
+		time.Sleep(3 * time.Millisecond)
+		held.Add(-1)
+		say(c, "200 OK", load, r.Header.Get("X-Trace-Id")+":"+body)
+	}
+}
+
+// crowd has eight clients ask for so long, a view and then a bid that waits 400 ms.
+func (r *rig) crowd(last time.Duration) {
+	r.t.Helper()
+	var done sync.WaitGroup
+	began := time.Now()
+	for i := range 8 {
+		c := r.dial()
+		done.Go(func() {
+			for j := 0; time.Since(began) < last; j++ {
+				id := fmt.Sprintf("%d-%d", i, j)
+				ask(r.t, c, view("v"+id, 400))
+				ask(r.t, c, strings.Replace(lodge("l"+id, "x"), "2500m", "400m", 1))
+			}
+		})
+	}
+	done.Wait()
 }
 
 func say(c net.Conn, status, fields, body string) {
--- a/cmd/thymebend/life_test.go
+++ b/cmd/thymebend/life_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -311,17 +310,8 @@
 func TestHostMuteForOneClass(t *testing.T) {
 	hang := make(chan bool)
 	defer close(hang)
-	var lodged, viewed atomic.Int32
-	work := func() func(net.Conn, *http.Request, string) { // one request after another, as one core would
-		var core sync.Mutex
-		return func(c net.Conn, r *http.Request, body string) {
-			core.Lock()
-			defer core.Unlock()
-			time.Sleep(3 * time.Millisecond)
-			ok(c, r, body)
-		}
-	}
-	answer := work()
+	var lodged, viewed, most atomic.Int32
+	answer := oneCore(&most, "")
 	half := newHost(t, "s-1", func(c net.Conn, r *http.Request, body string) {
 		if r.Method == "POST" {
 			lodged.Add(1)
@@ -331,26 +321,18 @@
 		viewed.Add(1)
 		answer(c, r, body)
 	})
-	g := start(t, nil, half, newHost(t, "s-2", work()))
-	var done sync.WaitGroup
-	began := time.Now()
-	for i := range 8 {
-		done.Go(func() {
-			c, err := net.Dial("tcp", g.addr)
-			if err != nil {
-				t.Error(err)
-				return
-			}
-			defer c.Close()
-			for j := 0; time.Since(began) < 3*time.Second; j++ {
-				id := fmt.Sprintf("%d-%d", i, j)
-				ask(t, c, view("v"+id, 400))
-				ask(t, c, strings.Replace(lodge("l"+id, "x"), "2500m", "400m", 1))
-			}
-		})
-	}
-	done.Wait()
+	start(t, nil, half, newHost(t, "s-2", oneCore(&most, ""))).crowd(3 * time.Second)
 	if n, v := lodged.Load(), viewed.Load(); n > 12 || v < 200 {
 		t.Errorf("%d bids and %d views went to a host that answers no bid", n, v)
 	}
 }
+
+// A host whose answers report requests waiting gets few at once: the report's fields go by the settings' names.
+func TestReportedQueueKeepsTheLimitLow(t *testing.T) {
+	var most, mostOther atomic.Int32
+	crowded := newHost(t, "s-1", oneCore(&most, "Endpoint-Load-Metrics: TEXT pending=9.5, busy_reqs=10\r\n"))
+	start(t, nil, crowded, newHost(t, "s-2", oneCore(&mostOther, ""))).crowd(3 * time.Second)
+	if n, other := most.Load(), mostOther.Load(); n > 2 || other < 3 {
+		t.Errorf("%d at once at a crowded host, %d at another", n, other)
+	}
+}
--- a/internal/servers/answer.go
+++ b/internal/servers/answer.go
@@ -16,6 +16,9 @@
 	fieldLoad     = "Endpoint-Load-Metrics"
 )
 
+// loadWaiting is the field of a load report with the requests waiting, named as in the settings.
+const loadWaiting = "pending"
+
 // Answer is a host's whole answer.
 type Answer struct {
 	*http1.Message
@@ -33,7 +36,7 @@
 	return a
 }
 
-// waiting finds the requests waiting in a load report such as 'TEXT inflight=7, queue=2'.
+// waiting finds the requests waiting in a load report such as 'TEXT busy_reqs=7, pending=2'.
 func waiting(report string) (float64, bool) {
 	list, ok := strings.CutPrefix(report, "TEXT ")
 	if !ok {
@@ -41,7 +44,7 @@
 	}
 	for item := range strings.SplitSeq(list, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(item), "=")
-		if name != "queue" {
+		if name != loadWaiting {
 			continue
 		}
 		v, err := strconv.ParseFloat(value, 64)
