Tell repeats by the client's mark, bound first requests and refuse ids of open queries

Checked: a trace of each request's patience and each refusal. Ruled out: resets (3 to 5% of attempts), room (limits not reached), ejection (two hosts at most). At fault: classState.age in balancer.go takes any patience but the usual one for a repeat begun long ago, so its aim seemed past. Clients here mark their repeats (clients.marks_retry), and nothing read the mark. Change: where repeats are marked, only a marked request is a repeat; both adapters pass the mark on.

Also, from a read of internal/gateway/fromclients.go: a silent or trickling connection held its link for 90 s and 10 s, and the id of an open query went to a host as any other. Now a first request must come whole within 2.5 s of the accept, a crowd of half requests gives way when links run short, and such an id is answered 400.

--- a/api.go
+++ b/api.go
@@ -83,6 +83,7 @@
 	FallMultiple float64       // sent more than this multiple of its capacity
 	OverloadFor  time.Duration // for this long, a cold server falls over
 
+	MarksRepeats  bool          // clients mark their repeats
 	MaxAttempts   int           // attempts for one request, at least 1
 	CancelAllowed bool          // Cancel may be used
 	RetryAfter    bool          // a refusal may carry advice
@@ -95,9 +96,11 @@
 	ID     RequestID
 	Class  int
 	Tenant int
-	// Patience is the time until the client gives up on this try. First tries of a class should share one value
-	// (to a few parts in a hundred); another value is taken for a repeat, begun Deadline-Patience ago.
+	// Patience is the time until the client gives up on this try. A repeat was begun Deadline-Patience ago. Where
+	// repeats are not marked, first tries of a class should share one value (to a few parts in a hundred); another
+	// value is taken for a repeat.
 	Patience time.Duration
+	Repeat   bool // marked by the client as a repeat
 }
 
 // Outcome says how an attempt ended.
--- a/balancer.go
+++ b/balancer.go
@@ -201,9 +201,7 @@
 	if err := cfg.validate(); err != nil {
 		return nil, err
 	}
-	if cfg.Tick == 0 {
-		cfg.Tick = time.Millisecond
-	}
+	cfg.Tick = cmp.Or(cfg.Tick, time.Millisecond)
 	b := &Balancer{
 		cfg: cfg, out: out, now: now, rng: rand.New(rand.NewPCG(seed, 0)),
 		requests: make(map[RequestID]*request), byID: make(map[ServerID]*server),
@@ -238,8 +236,10 @@
 		return
 	}
 	r := b.newRequest()
-	r.Request, r.arrived, r.deadline = in, now, now+in.Patience
-	r.begun = now - b.classes[in.Class].age(in.Patience)
+	r.Request, r.arrived, r.begun, r.deadline = in, now, now, now+in.Patience
+	if age := b.classes[in.Class].age(in.Patience); in.Repeat || !b.cfg.MarksRepeats {
+		r.begun -= age // a first try of an impatient client is no repeat
+	}
 	r.over = b.overShare(in.Tenant)
 	b.requests[in.ID] = r
 	b.classes[in.Class].arrivals++
--- a/cmd/thymebend/serve_test.go
+++ b/cmd/thymebend/serve_test.go
@@ -189,3 +189,75 @@
 		}
 	}
 }
+
+// A connection that says nothing, or goes on sending a head without end, must not hold a link for long: the
+// time for a first request runs from the accept. A client that has asked may stay.
+func TestFirstRequestIsBoundedFromTheAccept(t *testing.T) {
+	g := start(t, nil, newHost(t, "s-1", ok))
+	asked, silent, trickle := g.dial(), g.dial(), g.dial()
+	ask(t, asked, view("before", 900))
+	began, ended := time.Now(), make(chan bool)
+	go func() { // a byte each time: none of them may renew the bound
+		for _, err := io.WriteString(trickle, "GET /view HTTP/1.1\r\nX-Pad: "); err == nil; _, err = io.WriteString(trickle, "x") {
+			select {
+			case <-ended:
+				return
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}()
+	if status, _, _ := answer(trickle); status != 408 {
+		t.Errorf("a head without end: status %d, want 408", status)
+	}
+	close(ended)
+	if status, _, _ := answer(silent); status != 0 {
+		t.Errorf("a silent connection: status %d, want a close", status)
+	}
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("both ended after %v", took)
+	}
+	if status, _, _ := ask(t, asked, view("after", 900)); status != 200 {
+		t.Errorf("a link that has asked: %d", status)
+	}
+}
+
+// The id of a query that is still open must not reach a host a second time.
+func TestIdOfAnOpenQueryIsRefused(t *testing.T) {
+	release := make(chan bool)
+	h := newHost(t, "s-1", func(c net.Conn, r *http.Request, body string) { <-release; ok(c, r, body) })
+	g := start(t, nil, h)
+	first := g.dial()
+	if _, err := io.WriteString(first, lodge("same", "x")); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the execution", func() bool { _, asked, _ := h.seen(); return asked == 1 })
+	if status, _, _ := ask(t, g.dial(), lodge("same", "y")); status != 400 {
+		t.Errorf("the same id meanwhile: status %d, want 400", status)
+	}
+	close(release)
+	if status, _, body := answer(first); status != 200 || body != "same:x" {
+		t.Errorf("the first: %d %q", status, body)
+	}
+	if _, asked, _ := h.seen(); asked != 1 {
+		t.Errorf("%d executions, want 1", asked)
+	}
+}
+
+// Where clients mark their repeats, a first try with little patience is served while there is room: it is not
+// taken for a repeat whose aim is long past.
+func TestImpatientFirstTryIsServed(t *testing.T) {
+	for marks, want := range map[string]int{`"clients":{"marks_retry":true},`: 200, "": 503} {
+		g := start(t, map[string]any{"settings": settingsWith(`"classes"`, marks+`"classes"`)}, newHost(t, "s-1", ok))
+		c := g.dial()
+		for i := range 5 {
+			ask(t, c, view(fmt.Sprint("usual", i), 2000))
+		}
+		if status, _, _ := ask(t, c, view("hasty", 300)); status != want {
+			t.Errorf("%q: status %d, want %d", marks, status, want)
+		}
+		marked := strings.Replace(view("repeat", 300), "Host", "X-Second-Try: 1\r\nHost", 1)
+		if status, _, _ := ask(t, c, marked); status != 503 {
+			t.Errorf("a marked repeat, begun long ago: status %d, want 503", status)
+		}
+	}
+}
--- a/internal/clients/link.go
+++ b/internal/clients/link.go
@@ -19,8 +19,9 @@
 	MostPipelined = http1.MaxHead + http1.MaxBody
 	// IdleAfter closes a link on which nothing was asked for this long.
 	IdleAfter = 90 * time.Second
-	// RequestWithin is how long a request may take to come whole.
-	RequestWithin = 10 * time.Second
+	// RequestWithin is how long a request may take to come whole: the first one from the accept on, and not
+	// renewed by what trickles in, a later one from its first byte on.
+	RequestWithin = 2500 * time.Millisecond
 	// TakenWithin is how long an answer may take to be written out.
 	TakenWithin = 10 * time.Second
 	// LingerFor is how long the end of a link waits for the client's own.
@@ -35,6 +36,7 @@
 	Closing bool                // ends after the answer now written
 	Ended   bool                // our sending has ended; what still comes is dropped
 	Muted   bool
+	Asked   bool // a whole request has come on it
 	Timed   bool // the rest of a request is awaited for a limited time
 	LastAsk bool // is looked at once more before it is closed
 	reader  http1.Reader
@@ -124,6 +126,11 @@
 	return http1.AppendResponse(nil, f.Status, nil, []byte(f.Text+"\n"), keepAlive)
 }
 
+// Taken words that a request bears the id of one that is still open.
+func Taken(keepAlive bool) []byte {
+	return Faulty(bad(fieldID+" is that of an open request"), keepAlive)
+}
+
 // TooSlow words that a request did not come whole in time.
 func TooSlow() []byte {
 	return Faulty(&http1.Fault{Status: 408, Text: "the request did not come whole"}, false)
--- a/internal/clients/query.go
+++ b/internal/clients/query.go
@@ -17,6 +17,7 @@
 	fieldID       = "X-Trace-Id"
 	fieldClass    = "X-Qos"
 	fieldDeadline = "X-Expires-In"
+	fieldRepeat   = "X-Second-Try"
 )
 
 // mostPatience bounds what a client may state. No class of any deployment waits longer.
@@ -24,8 +25,10 @@
 
 // Query is a valid request of a client.
 type Query struct {
+	ID       string // the client's, unique among what is open
 	Class    int
 	Patience time.Duration
+	Repeat   bool // the client marks it as a repeat
 	Message  *http1.Message
 }
 
@@ -55,15 +58,19 @@
 	if method == "GET" && len(m.Body) > 0 {
 		return q, bad("a GET has no body")
 	}
-	if id, times := m.Get(fieldID); times != 1 || id == "" || len(id) > 128 || strings.ContainsAny(id, " \t,") {
+	id, times := m.Get(fieldID)
+	if times != 1 || id == "" || len(id) > 128 || strings.ContainsAny(id, " \t,") {
 		return q, bad(fieldID + " is missing or malformed")
 	}
+	q.ID = id
 	text, times := m.Get(fieldDeadline)
 	patience, ok := span(text)
 	if times != 1 || !ok {
 		return q, bad(fieldDeadline + " is missing or malformed")
 	}
 	q.Patience = patience
+	mark, _ := m.Get(fieldRepeat)
+	q.Repeat = mark == "1"
 	return q, nil
 }
 
--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -55,6 +55,7 @@
 		return nil, nil
 	}
 	q.over = true
+	delete(g.open, q.ID)
 	g.forget(q)
 	return q, g.links.ByConn[q.client]
 }
--- a/internal/gateway/fromclients.go
+++ b/internal/gateway/fromclients.go
@@ -47,23 +47,33 @@
 	}
 }
 
-// evict makes room by closing the idle client link that is oldest.
+// evict makes room by closing the idle client link that is oldest, or else the one that has been sending its
+// first request for longest: a crowd that never ends its heads must not hold what good clients need.
 func (g *Gateway) evict() bool {
-	var oldest *clients.Link
+	var oldest, halfway *clients.Link
 	for _, l := range g.links.ByConn {
-		if !l.Busy && !l.Pending() && (oldest == nil || l.Conn < oldest.Conn) {
-			oldest = l
+		switch {
+		case l.Busy || l.Ended:
+		case !l.Pending():
+			if oldest == nil || l.Conn < oldest.Conn {
+				oldest = l
+			}
+		case !l.Asked && (halfway == nil || l.Conn < halfway.Conn):
+			halfway = l
 		}
 	}
-	if oldest != nil {
+	switch {
+	case oldest != nil:
 		g.lookAndClose(oldest)
+	case halfway != nil:
+		g.clientTimer(halfway.Conn)
 	}
 	return oldest != nil
 }
 
 func (g *Gateway) accepted(c loop.Conn) {
 	g.links.Add(c)
-	patience := clients.IdleAfter
+	patience := clients.RequestWithin
 	if g.closed {
 		patience = clients.LingerFor // its request is on the way, or never comes
 	}
@@ -113,12 +123,13 @@
 	}
 }
 
-// awaitRest bounds the time for the rest of a request, from its first byte on.
+// awaitRest bounds the time for the rest of a request, from its first byte on. That of a first request has run
+// since the accept.
 func (g *Gateway) awaitRest(l *clients.Link) {
 	if !l.Pending() {
 		return
 	}
-	if !l.Timed {
+	if l.Asked && !l.Timed {
 		l.Timed = true
 		g.setTimer(timerClient, uint64(l.Conn), g.now+clients.RequestWithin)
 	}
@@ -129,7 +140,7 @@
 
 // take answers a request itself or makes it a query of the module's.
 func (g *Gateway) take(l *clients.Link, asked clients.Asked) {
-	l.Timed = false
+	l.Timed, l.Asked = false, true
 	switch {
 	case asked.Fault != nil:
 		g.reply(l, clients.Faulty(asked.Fault, !l.Closing))
@@ -137,6 +148,10 @@
 	case asked.Health:
 		g.reply(l, clients.Health(g.group.Len() > 0 && !g.stopping, !l.Closing))
 		return
+	case g.open[asked.Query.ID]:
+		// Two queries of one id could not be told apart at a host: the second would run in the first one's name.
+		g.reply(l, clients.Taken(!l.Closing))
+		return
 	case len(g.queries) >= g.cfg.Settings.Gateway.MostOpen:
 		g.reply(l, clients.Refused(g.cfg.Settings.Config.MaxRetryAfter, !l.Closing))
 		return
@@ -146,9 +161,11 @@
 	g.nextID++
 	q := &query{Query: read, id: g.nextID, client: l.Conn, deadline: g.now + read.Patience}
 	g.queries[q.id] = q
+	g.open[read.ID] = true
 	l.Busy, l.Query = true, q.id
 	g.told = true
-	g.module.Request(g.now, thymebend.Request{ID: q.id, Class: read.Class, Patience: read.Patience})
+	g.module.Request(g.now, thymebend.Request{ID: q.id, Class: read.Class, Patience: read.Patience,
+		Repeat: read.Repeat})
 }
 
 // reply writes an answer of the gateway's own, to what is no query.
@@ -231,6 +248,7 @@
 		return
 	}
 	q.over, q.client = true, 0
+	delete(g.open, q.ID)
 	g.told = true
 	g.module.Lapsed(g.now, q.id)
 	for _, x := range append([]*execution(nil), q.executions...) {
--- a/internal/gateway/fromservers.go
+++ b/internal/gateway/fromservers.go
@@ -127,6 +127,7 @@
 	}
 	if end == EndServed && !q.over {
 		q.over = true
+		delete(g.open, q.ID)
 		if c := g.links.ByConn[q.client]; c != nil {
 			g.answer(q, c, clients.Served(a.Passed(), a.Body, !c.Closing))
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,6 +80,7 @@
 	wakes   uint64
 
 	queries  map[thymebend.RequestID]*query
+	open     map[string]bool // the clients' ids of the queries that await their answer
 	nextID   thymebend.RequestID
 	byLink   map[loop.Conn]*execution
 	byID     map[uint64]*execution
@@ -102,8 +103,8 @@
 	inbound := int(sockets * clientShare)
 	return &Gateway{
 		cfg: cfg, log: log,
-		queries: make(map[thymebend.RequestID]*query),
-		byLink:  make(map[loop.Conn]*execution), byID: make(map[uint64]*execution),
+		queries: make(map[thymebend.RequestID]*query), open: make(map[string]bool),
+		byLink: make(map[loop.Conn]*execution), byID: make(map[uint64]*execution),
 		links: clients.NewLinks(inbound), pool: servers.NewPool(int(sockets) - inbound),
 		group: hostgroup.New(cfg.Settings.Gateway.Zones),
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -82,6 +82,7 @@
 		WarmAfter:      s.millis("guarantees.warm_after_ms", 0, false),
 		FallMultiple:   s.number("guarantees.fall_multiple", 1, false),
 		OverloadFor:    s.millis("guarantees.overload_for_ms", 0, false),
+		MarksRepeats:   s.flag("clients.marks_retry"),
 		MaxAttempts:    s.integer("bounds.most_tries", 1, false),
 		CancelAllowed:  s.flag("bounds.cancel"),
 		RetryAfter:     s.flag("bounds.retry_after"),
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -238,7 +238,7 @@
 	left, err := float(rec[17:], "patience_left_ms")
 	return thymebend.Request{
 		ID: thymebend.RequestID(le.Uint32(rec[1:])), Tenant: int(le.Uint32(rec[5:])),
-		Patience: left, Class: int(le.Uint16(rec[25:])),
+		Patience: left, Class: int(le.Uint16(rec[25:])), Repeat: rec[27]&2 != 0,
 	}, err
 }
 
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -66,7 +66,7 @@
 	if len(events) != 5 || events[0].Instance != 3 || events[4].Instance != 4 || events[4].Kind != Stop {
 		t.Fatalf("events = %+v", events)
 	}
-	want := thymebend.Request{ID: 77, Tenant: 1, Patience: 110 * time.Millisecond, Class: 2}
+	want := thymebend.Request{ID: 77, Tenant: 1, Patience: 110 * time.Millisecond, Class: 2, Repeat: true}
 	if events[0].Request != want {
 		t.Errorf("request = %+v", events[0].Request)
 	}
