--- /dev/null
+++ b/internal/lab/experiment/events.go
@@ -0,0 +1,324 @@
+package experiment
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"syscall"
+	"time"
+
+	"thymebend/internal/lab/fleet"
+	"thymebend/internal/lab/standin"
+)
+
+// play carries out the timeline, from began on, until ctx is done or everything has happened. Events that need
+// gateways are left out where there are none.
+func (w *World) play(ctx context.Context, began time.Duration, program string) {
+	events := slices.Clone(w.File.Events)
+	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.At.Duration, b.At.Duration) })
+	rng := rand.New(rand.NewPCG(w.seed, 4))
+	for _, e := range events {
+		if !sleep(ctx, began+e.At.Duration-w.Clock()) {
+			return
+		}
+		chosen := w.choose(e, rng)
+		w.pending.Go(func() {
+			if err := w.happen(ctx, e, chosen, program); err != nil {
+				w.mark("%s failed: %v", e.Do, err)
+			}
+		})
+	}
+	w.pending.Wait()
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// choose draws the hosts that an event is about.
+func (w *World) choose(e Event, rng *rand.Rand) []*member {
+	var fit []*member
+	for _, m := range w.members() {
+		if !m.gone.Load() && (e.Host == "" || m.Name == e.Host) && (e.Kind == "" || m.spec.Kind == e.Kind) {
+			fit = append(fit, m)
+		}
+	}
+	rng.Shuffle(len(fit), func(i, j int) { fit[i], fit[j] = fit[j], fit[i] })
+	switch {
+	case e.Count > 0:
+		fit = fit[:min(e.Count, len(fit))]
+	case e.Part > 0:
+		fit = fit[:int(math.Round(e.Part*float64(len(fit))))]
+	}
+	return fit
+}
+
+// happen is one event, to its end.
+func (w *World) happen(ctx context.Context, e Event, hosts []*member, program string) error {
+	switch e.Do {
+	case "gateway-kill", "gateway-restart", "gateway-reload", "discovery-move":
+		return w.toGateways(ctx, e, program)
+	case "discovery-down":
+		return w.forA(ctx, e, "discovery down", func() { w.disc.SetDown(true) }, func() { w.disc.SetDown(false) })
+	case "discovery-mute":
+		return w.forA(ctx, e, "discovery silent", func() { w.disc.SetMute(true) }, func() { w.disc.SetMute(false) })
+	case "discovery-flap":
+		w.mark("discovery starts anew")
+		w.disc.Flap()
+		return nil
+	case "discovery-lag":
+		w.mark("discovery's lag is %v", e.Lag)
+		w.disc.SetLag(e.Lag.Duration)
+		return nil
+	}
+	for i, m := range hosts {
+		if i > 0 && !sleep(ctx, e.Every.Duration) {
+			return nil
+		}
+		w.pending.Go(func() {
+			if err := w.toHost(ctx, e, m); err != nil {
+				w.mark("%s of %s failed: %v", e.Do, m.Name, err)
+			}
+		})
+	}
+	return nil
+}
+
+// forA does something, and undoes it after the event's time if one is stated.
+func (w *World) forA(ctx context.Context, e Event, what string, do, undo func()) error {
+	w.mark("%s", what)
+	do()
+	if e.For.Duration > 0 && sleep(ctx, e.For.Duration) {
+		undo()
+		w.mark("%s: over", what)
+	}
+	return nil
+}
+
+func (w *World) toHost(ctx context.Context, e Event, m *member) error {
+	mode := func(to standin.Mode, what string) error {
+		var err error
+		_ = w.forA(ctx, e, m.Name+" "+what, func() { err = m.SetMode(to) }, func() {
+			if back := m.SetMode(standin.Up); back != nil {
+				err = back
+			}
+		})
+		return err
+	}
+	model := func(what string, do, undo func(now time.Duration, h *fleet.Host)) error {
+		return w.forA(ctx, e, m.Name+" "+what, func() { m.Do(do) }, func() { m.Do(undo) })
+	}
+	switch e.Do {
+	case "host-down":
+		w.mark("%s down", m.Name)
+		if err := m.SetMode(standin.Refuse); err != nil {
+			return err
+		}
+		w.list(m, standin.StateRemoved, m.entry.Born)
+		if e.For.Duration > 0 && sleep(ctx, e.For.Duration) {
+			return w.again(m)
+		}
+		return nil
+	case "host-cold":
+		if err := m.SetMode(standin.Refuse); err != nil {
+			return err
+		}
+		return w.again(m)
+	case "host-drain":
+		w.drain(ctx, e, m)
+		return nil
+	case "host-replace":
+		w.drain(ctx, e, m)
+		w.mu.Lock()
+		n := m.spec.Count + w.replaced
+		w.replaced++
+		w.mu.Unlock()
+		fresh, err := w.start(m.spec, n, gatewayNames(len(m.entry.Dial)), m.entry.Dial, m.spec.ColdFrom > 0)
+		if err == nil {
+			w.mark("%s in place of %s", fresh.Name, m.Name)
+		}
+		return err
+	case "host-cut":
+		return mode(standin.Silent, "cut off")
+	case "host-hang":
+		return mode(standin.Hung, "hangs")
+	case "host-noreply":
+		return mode(standin.NoReply, "answers nothing")
+	case "host-pause":
+		w.mark("%s pauses for %v", m.Name, e.For)
+		m.Do(func(now time.Duration, h *fleet.Host) { h.PauseFor(now, e.For.Duration) })
+		return nil
+	case "host-slow":
+		speed := m.spec.Speed
+		return model(fmt.Sprintf("at %.2f of its speed", e.Factor), func(now time.Duration, h *fleet.Host) { h.SetSpeed(now, speed*e.Factor) },
+			func(now time.Duration, h *fleet.Host) { h.SetSpeed(now, speed) })
+	case "host-errors":
+		return model(fmt.Sprintf("errs in %.0f%%", e.Share*100), func(now time.Duration, h *fleet.Host) { h.SetErrors(now, e.Share) },
+			func(now time.Duration, h *fleet.Host) { h.SetErrors(now, m.spec.ErrorRate) })
+	case "neighbour":
+		n := fleet.Neighbour{Share: e.Share, On: e.On.Duration, Off: e.Off.Duration}
+		return model(fmt.Sprintf("has a neighbour of %.0f%%", e.Share*100), func(now time.Duration, h *fleet.Host) { h.SetNeighbour(now, n) },
+			func(now time.Duration, h *fleet.Host) { h.SetNeighbour(now, fleet.Neighbour{}) })
+	case "heavy":
+		w.mark("%s: %.1f%% of %s cost %.0f times", m.Name, e.Share*100, e.Class, e.Factor)
+		m.Do(func(now time.Duration, h *fleet.Host) { h.Heavy(now, e.Class, e.Share, e.Factor, now+e.For.Duration) })
+		return nil
+	case "host-spoil":
+		f := standin.Fault(e.Fault)
+		return w.forA(ctx, e, fmt.Sprintf("%s: %.0f%% %s", m.Name, e.Share*100, f), func() { m.Spoil(f, e.Share, e.Class) },
+			func() { m.Spoil(f, 0, "") })
+	}
+	return fmt.Errorf("unknown event %s", e.Do)
+}
+
+// list has discovery tell a host's state.
+func (w *World) list(m *member, state string, born int64) {
+	w.mu.Lock()
+	m.entry.State, m.entry.Born = state, born
+	entry := m.entry
+	w.mu.Unlock()
+	w.disc.Put(entry)
+}
+
+// again brings a host back at its address, cold if its kind starts cold.
+func (w *World) again(m *member) error {
+	if err := m.SetMode(standin.Up); err != nil {
+		return err
+	}
+	w.mark("%s back, cold", m.Name)
+	w.list(m, standin.StateUp, time.Now().UnixMilli())
+	return nil
+}
+
+// drain has a host leave: discovery tells so, the host finishes what it has, and ends.
+func (w *World) drain(ctx context.Context, e Event, m *member) {
+	w.mark("%s drains", m.Name)
+	w.list(m, standin.StateDraining, m.entry.Born)
+	lag := w.File.Discovery.Lag.Duration
+	// A host that drains turns work away only once everybody may know it.
+	sleep(ctx, lag+drainGrace)
+	m.Do(func(now time.Duration, h *fleet.Host) { h.Drain(now, true) })
+	sleep(ctx, max(e.For.Duration, 500*time.Millisecond))
+	w.list(m, standin.StateRemoved, m.entry.Born)
+	l := m.Host.Close()
+	w.mu.Lock()
+	m.gone.Store(true)
+	w.ledgers = append(w.ledgers, l)
+	w.mu.Unlock()
+	w.mark("%s gone", m.Name)
+}
+
+func (w *World) toGateways(ctx context.Context, e Event, program string) error {
+	list := w.gateways
+	if e.Gateway >= 0 && e.Gateway < len(list) {
+		list = list[e.Gateway : e.Gateway+1]
+	}
+	for i, g := range list {
+		if i > 0 && !sleep(ctx, e.Every.Duration) {
+			return nil
+		}
+		if err := w.toGateway(ctx, e, g, program); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *World) toGateway(ctx context.Context, e Event, g *gateway, program string) error {
+	switch e.Do {
+	case "gateway-kill", "gateway-restart":
+		if e.Do == "gateway-kill" {
+			w.mark("%s killed", g.name)
+			w.kill(g)
+		} else {
+			w.mark("%s restarts", g.name)
+			w.stop(g, w.Front)
+		}
+		if !sleep(ctx, e.For.Duration) {
+			return nil
+		}
+		if err := w.startGateway(g, program); err != nil {
+			return err
+		}
+		if err := w.ready(ctx, g); err != nil {
+			return err
+		}
+		w.mark("%s back", g.name)
+	case "gateway-reload", "discovery-move":
+		return w.reload(e, g)
+	}
+	return nil
+}
+
+// reload replaces a gateway's file, in which discovery has moved, and sends SIGHUP. A faulty file must change
+// nothing: discovery then stays.
+func (w *World) reload(e Event, g *gateway) error {
+	raw, err := os.ReadFile(g.config)
+	if err != nil {
+		return err
+	}
+	if e.Faulty {
+		w.mark("%s: SIGHUP with a faulty file", g.name)
+		raw = raw[:len(raw)/2]
+	} else {
+		at, err := w.disc.Open(g.name, "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		var fields map[string]any
+		if err := json.Unmarshal(raw, &fields); err != nil {
+			return err
+		}
+		fields["discovery"] = at
+		if raw, err = json.Marshal(fields); err != nil {
+			return err
+		}
+		w.mark("%s: SIGHUP, discovery moves", g.name)
+	}
+	fresh := g.config + ".new"
+	if err := os.WriteFile(fresh, raw, 0o600); err != nil {
+		return err
+	}
+	if !e.Faulty {
+		if err := os.Rename(fresh, g.config); err != nil {
+			return err
+		}
+		return g.signal(syscall.SIGHUP)
+	}
+	good, err := os.ReadFile(g.config)
+	if err != nil {
+		return err
+	}
+	if err := os.Rename(fresh, g.config); err != nil {
+		return err
+	}
+	if err := g.signal(syscall.SIGHUP); err != nil {
+		return err
+	}
+	time.Sleep(500 * time.Millisecond) // it reads the file in this time; then the good one lies there again
+	return os.WriteFile(g.config, good, 0o600)
+}
+
+func (g *gateway) signal(s syscall.Signal) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.cmd.Process.Signal(s)
+}
+
+// Play plays the events that concern hosts and discovery, for a fleet without gateways.
+func (w *World) Play(ctx context.Context) { w.play(ctx, w.Clock(), "") }
--- /dev/null
+++ b/internal/lab/experiment/run.go
@@ -0,0 +1,187 @@
+package experiment
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"thymebend/internal/lab/ledger"
+	"thymebend/internal/lab/load"
+)
+
+// ResultVersion is that of result.json. It rises when a field changes its meaning or goes.
+const ResultVersion = 1
+
+// Result is a run, as result.json holds it. docs/lab/result.md describes every field.
+type Result struct {
+	Version     int              `json:"version"`
+	Name        string           `json:"name"`
+	Title       string           `json:"title"`
+	About       string           `json:"about"`
+	Seed        uint64           `json:"seed"`
+	Started     time.Time        `json:"started"`
+	Held        bool             `json:"rules_held"`
+	Rules       []RuleCount      `json:"rules"`
+	Findings    []ledger.Finding `json:"findings"` // the first of them
+	LostByCrash int              `json:"lost_by_crash"`
+	Load        load.Result      `json:"load"`
+	Limits      Gateways         `json:"limits"`
+	Events      []Mark           `json:"events"`
+	Hosts       []HostResult     `json:"hosts"`
+	Gateways    []GatewayResult  `json:"gateways"`
+	Work        HostWork         `json:"work"`
+}
+
+// HostWork sums the hosts' ledgers up.
+type HostWork struct {
+	Arrivals   int     `json:"arrivals"`
+	Begun      int     `json:"begun"`
+	TurnedAway int     `json:"turned_away"`
+	PerRequest float64 `json:"arrivals_per_request"`
+}
+
+// RuleCount is how often a rule was broken.
+type RuleCount struct {
+	Rule   string `json:"rule"`
+	Broken int    `json:"broken"`
+}
+
+// mostFindings are kept in the result; the counts hold all.
+const mostFindings = 200
+
+// Options of a run.
+type Options struct {
+	Gateway  string // the program
+	Dir      string // for configurations, logs and results
+	Seed     uint64 // goes before the file's if not 0
+	Progress func(load.Progress)
+}
+
+// Run plays an experiment.
+func Run(ctx context.Context, f *File, o Options) (*Result, error) {
+	seed := f.Seed
+	if o.Seed != 0 {
+		seed = o.Seed
+	}
+	if err := os.MkdirAll(o.Dir, 0o755); err != nil {
+		return nil, err
+	}
+	if _, err := os.Stat(o.Gateway); err != nil {
+		return nil, fmt.Errorf("the gateway's program: %w (make build builds it)", err)
+	}
+	w, err := NewWorld(f, seed, gatewayNames(f.Gateways.Count), "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	defer w.Close()
+	if err := w.startGateways(ctx, o.Gateway, o.Dir); err != nil {
+		return nil, err
+	}
+	schedule, err := load.Phases(f.classes(), f.phases(), seed)
+	if err != nil {
+		return nil, err
+	}
+	var arrivals []load.Arrival
+	for a, ok := schedule.Next(); ok; a, ok = schedule.Next() {
+		arrivals = append(arrivals, a)
+	}
+	var targets []string
+	for _, g := range w.gateways {
+		targets = append(targets, g.addr)
+	}
+	res := &Result{Version: ResultVersion, Name: f.Name, Title: f.Title, About: f.About, Seed: seed, Started: time.Now().UTC(),
+		Limits: f.Gateways}
+	w.Front = load.NewFront(targets, f.Front.Notice.Duration, w.Clock)
+	clients := ledger.NewClients()
+
+	running, stop := context.WithCancel(ctx)
+	defer stop()
+	began := w.Clock()
+	go w.sample(running, began)
+	played := make(chan bool)
+	go func() { w.play(running, began, o.Gateway); close(played) }()
+	res.Load, err = load.Run(ctx, load.Options{Targets: targets, Front: w.Front, Classes: f.classes(),
+		Schedule: load.Record(arrivals), Clients: f.Clients.model(), Seed: seed, Ledger: clients, Clock: w.Clock,
+		Progress: o.Progress})
+	if err != nil {
+		return nil, err
+	}
+	stop()
+	<-played
+	if err := writeTries(filepath.Join(o.Dir, triesFile), clients.Tries(), began); err != nil {
+		return nil, err
+	}
+	for _, g := range w.gateways {
+		w.stop(g, nil)
+	}
+	return res, w.conclude(res, clients, began)
+}
+
+// conclude compares the ledgers and fills in the result.
+func (w *World) conclude(res *Result, clients *ledger.Clients, began time.Duration) error {
+	var found []ledger.Finding
+	res.Hosts, res.Gateways, found = w.results()
+	hosts := w.Close()
+	tries := clients.Tries()
+	compared, crashed := ledger.Compare(tries, hosts, w.excused)
+	res.LostByCrash = crashed
+	w.mu.Lock()
+	found = append(append(found, w.findings...), compared...)
+	for _, m := range w.marks {
+		m.At -= began.Seconds()
+		res.Events = append(res.Events, m)
+	}
+	w.mu.Unlock()
+	res.Events = append([]Mark{}, res.Events...)
+	counts := make(map[string]int)
+	for _, f := range found {
+		counts[f.Rule]++
+	}
+	for _, rule := range ledger.Rules() {
+		res.Rules = append(res.Rules, RuleCount{rule, counts[rule]})
+	}
+	res.Held = len(found) == 0
+	res.Findings = append([]ledger.Finding{}, found[:min(len(found), mostFindings)]...)
+	for _, t := range tries {
+		for _, h := range hosts {
+			if e := h.Find(t.ID); e != nil {
+				res.Work.Arrivals += e.Arrivals
+				res.Work.Begun += e.Begun
+				res.Work.TurnedAway += e.TurnedAway
+			}
+		}
+	}
+	if res.Load.Scheduled > 0 {
+		res.Work.PerRequest = float64(res.Work.Arrivals) / float64(res.Load.Scheduled)
+	}
+	return nil
+}
+
+// WriteJSON writes result.json into a directory.
+func (r *Result) WriteJSON(dir string) error {
+	raw, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(dir, "result.json"), append(raw, '\n'), 0o644)
+}
+
+// ReadJSON reads the result of a directory.
+func ReadJSON(dir string) (*Result, error) {
+	path := filepath.Join(dir, "result.json")
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var r Result
+	if err := json.Unmarshal(raw, &r); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if r.Version != ResultVersion {
+		return nil, fmt.Errorf("%s: version %d, this program reads %d", path, r.Version, ResultVersion)
+	}
+	return &r, nil
+}
--- /dev/null
+++ b/internal/lab/experiment/tries.go
@@ -0,0 +1,95 @@
+package experiment
+
+import (
+	"bufio"
+	"encoding/csv"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"thymebend/internal/lab/ledger"
+	"thymebend/internal/lab/load"
+)
+
+// triesFile holds every try of a run, one a line.
+const triesFile = "tries.tsv"
+
+func triesHead() []string {
+	return []string{"id", "request", "try", "class", "target", "due_us", "sent_us", "ended_us", "status", "answers", "patience_ms",
+		"body_bytes", "cause"}
+}
+
+// writeTries writes the clients' ledger as tab-separated text. Times count from the load's begin; a try that was
+// never written whole has sent_us -1.
+func writeTries(path string, tries []ledger.Try, began time.Duration) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	out := csv.NewWriter(file)
+	out.Comma = '\t'
+	_ = out.Write(triesHead())
+	for _, t := range tries {
+		sent := int64(-1)
+		if t.Whole {
+			sent = (t.Sent - began).Microseconds()
+		}
+		_ = out.Write([]string{t.ID, strconv.Itoa(t.Request), strconv.Itoa(t.Number), t.Class, t.Target,
+			fmt.Sprint((t.Due - began).Microseconds()), fmt.Sprint(sent), fmt.Sprint((t.Ended - began).Microseconds()),
+			strconv.Itoa(t.Status), strconv.Itoa(t.Answers), fmt.Sprint(t.Patience.Milliseconds()), strconv.Itoa(t.Body), t.Cause})
+	}
+	out.Flush()
+	if err := out.Error(); err != nil {
+		return err
+	}
+	return file.Close()
+}
+
+// Trace turns a run into a trace: its first tries, when they were due.
+func Trace(dir string, to io.Writer) (requests int, err error) {
+	path := filepath.Join(dir, triesFile)
+	file, err := os.Open(path)
+	if err != nil {
+		return 0, err
+	}
+	defer file.Close()
+	in := csv.NewReader(bufio.NewReader(file))
+	in.Comma, in.FieldsPerRecord = '\t', len(triesHead())
+	var classes []load.Class
+	var arrivals []load.Arrival
+	for n := 1; ; n++ {
+		row, err := in.Read()
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return 0, fmt.Errorf("%s: %w", path, err)
+		}
+		if n == 1 || row[2] != "0" {
+			continue
+		}
+		due, err1 := strconv.ParseInt(row[5], 10, 64)
+		patience, err2 := strconv.ParseInt(row[10], 10, 64)
+		body, err3 := strconv.Atoi(row[11])
+		if err1 != nil || err2 != nil || err3 != nil {
+			return 0, fmt.Errorf("%s:%d: not numbers", path, n)
+		}
+		class := -1
+		for i, c := range classes {
+			if c.Name == row[3] {
+				class = i
+			}
+		}
+		if class < 0 {
+			class = len(classes)
+			classes = append(classes, load.Class{Name: row[3]})
+		}
+		arrivals = append(arrivals, load.Arrival{At: time.Duration(due) * time.Microsecond, Class: class,
+			Patience: time.Duration(patience) * time.Millisecond, Body: body})
+	}
+	return len(arrivals), load.WriteTrace(to, classes, load.Record(arrivals))
+}
--- /dev/null
+++ b/internal/lab/experiment/world.go
@@ -0,0 +1,433 @@
+package experiment
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"thymebend/internal/lab/ledger"
+	"thymebend/internal/lab/load"
+	"thymebend/internal/lab/standin"
+)
+
+// The rules in figures.
+const (
+	drainGrace = 300 * time.Millisecond // 250 ms, and 50 ms as for every time limit on sockets
+	lateTaken  = 700 * time.Millisecond // what comes later than this after SIGTERM need not be answered
+	killAfter  = 700 * time.Millisecond // after SIGTERM and the longest patience
+	leaveFront = 300 * time.Millisecond // the front sends on for so long after SIGTERM
+	readyWait  = 15 * time.Second
+)
+
+// World is the running laboratory: hosts, discovery and, if asked for, gateways.
+type World struct {
+	File  *File
+	Clock standin.Clock
+	Front *load.Front
+
+	mu       sync.Mutex
+	disc     *standin.Discovery
+	hosts    []*member
+	gateways []*gateway
+	findings []ledger.Finding
+	ledgers  []*ledger.Host // of hosts that have gone
+	marks    []Mark
+	replaced int
+	dir      string
+	seed     uint64
+	pending  sync.WaitGroup // events under way
+}
+
+// member is a host as discovery and the laboratory know it.
+type member struct {
+	*standin.Host
+	entry standin.Entry
+	spec  Hosts
+	n     int
+	gone  atomic.Bool
+	series
+}
+
+// Mark is an event as it happened.
+type Mark struct {
+	At   float64 `json:"at_s"`
+	Text string  `json:"text"`
+}
+
+// NewWorld starts the hosts and discovery. vias are the names of those that reach them: the gateways.
+func NewWorld(f *File, seed uint64, vias []string, discoveryAt string) (*World, error) {
+	w := &World{File: f, Clock: standin.NewClock(), seed: seed}
+	w.disc = standin.NewDiscovery(w.Clock, 0)
+	for _, h := range f.Hosts {
+		for n := range h.Count {
+			if _, err := w.start(h, n, vias, nil, h.Cold); err != nil {
+				w.Close()
+				return nil, err
+			}
+		}
+	}
+	w.disc.SetLag(f.Discovery.Lag.Duration)
+	for _, via := range vias {
+		if _, err := w.disc.Open(via, discoveryAt); err != nil {
+			w.Close()
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+// start starts a host and lists it. addrs gives the addresses of its doors; nil takes free ones.
+func (w *World) start(h Hosts, n int, vias []string, addrs map[string]string, cold bool) (*member, error) {
+	spec := w.File.spec(h, n)
+	w.mu.Lock()
+	w.seed++
+	seed := w.seed
+	w.mu.Unlock()
+	host, err := standin.NewHost(spec, w.Clock, standin.Options{Seed: seed, Cold: cold, Idle: h.Idle.Duration,
+		Arrived: w.arrived})
+	if err != nil {
+		return nil, err
+	}
+	m := &member{Host: host, spec: h, n: n}
+	m.entry = standin.Entry{Host: spec.Name, Site: spec.Site, Kind: spec.Kind, State: standin.StateUp, Dial: make(map[string]string)}
+	if cold {
+		m.entry.Born = time.Now().UnixMilli()
+	}
+	for _, via := range vias {
+		at := addrs[via]
+		if at == "" {
+			at = "127.0.0.1:0"
+		}
+		if m.entry.Dial[via], err = host.Open(via, at); err != nil {
+			return nil, err
+		}
+	}
+	w.mu.Lock()
+	w.hosts = append(w.hosts, m)
+	w.mu.Unlock()
+	w.disc.Put(m.entry)
+	return m, nil
+}
+
+// arrived holds every request against what its gateway had been told about the host.
+func (w *World) arrived(host, via, id string, first time.Duration) {
+	told, ok := w.disc.Told(via, host)
+	if late := first - told.At; ok && late > drainGrace {
+		w.mu.Lock()
+		w.findings = append(w.findings, ledger.Finding{Rule: ledger.LateToDrained, ID: id, At: first,
+			Detail: fmt.Sprintf("%s sent to %s %v after it was told %s", via, host, late.Round(time.Millisecond), told.State)})
+		w.mu.Unlock()
+	}
+}
+
+// Addresses lists hosts and discovery as one of the vias reaches them.
+func (w *World) Addresses(via string) (discovery string, hosts map[string]string) {
+	hosts = make(map[string]string)
+	for _, m := range w.members() {
+		hosts[m.Name] = m.Addr(via)
+	}
+	return w.disc.Addr(via), hosts
+}
+
+func (w *World) members() []*member {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.hosts)
+}
+
+func (w *World) mark(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.marks = append(w.marks, Mark{At: w.Clock().Seconds(), Text: fmt.Sprintf(format, args...)})
+}
+
+// Settings are what a gateway of this experiment is told, in the platform's form.
+func (w *World) Settings(rank int) map[string]any {
+	f := w.File
+	var classes []map[string]any
+	for _, c := range f.Classes {
+		repeat := "repeatable"
+		if c.Unsafe {
+			repeat = "once"
+		}
+		classes = append(classes, map[string]any{"name": c.Name, "aim_ms": c.Aim.Milliseconds(),
+			"give_up_ms": c.Patience.Milliseconds(), "repeat": repeat, "worth": c.Worth, "group": "all"})
+	}
+	var zones []string
+	from, warm, multiple, overload, idle := 1.0, time.Duration(0), 1.0, time.Second, 30*time.Second
+	for _, h := range f.Hosts {
+		if !slices.Contains(zones, h.Site) {
+			zones = append(zones, h.Site)
+		}
+		if h.ColdFrom > 0 {
+			from = min(from, h.ColdFrom)
+			warm = max(warm, h.ColdFor.Duration)
+		}
+		if h.Fall > 0 {
+			if multiple == 1 || h.Fall < multiple {
+				multiple = h.Fall
+			}
+			overload = h.FallFor.Duration
+		}
+		idle = min(idle, h.Idle.Duration)
+	}
+	if multiple == 1 {
+		multiple = 3
+	}
+	names := standin.DefaultFields()
+	return map[string]any{
+		"balancers": f.Gateways.Count, "rank": rank, "zone": 0, "zones": zones, "tick_ms": 5,
+		"registry_mode": "subscribe", "counted_by": "request",
+		"report": map[string]any{"how": "piggyback", "columns": []string{names.Queue, names.InFlight, names.Errors}},
+		"guarantees": map[string]any{"ask_within_ms": 10000, "cold_from": from, "warm_after_ms": warm.Milliseconds(),
+			"fall_multiple": multiple, "overload_for_ms": overload.Milliseconds(), "drain_grace_ms": 250},
+		"clients": map[string]any{"marks_retry": f.Clients.Marks},
+		"bounds": map[string]any{"connect_timeout_ms": 250, "conn_idle_ms": idle.Milliseconds(), "most_tries": 4, "open_cap": 20000,
+			"cancel": true, "retry_after": true, "max_retry_after_ms": f.Clients.MostAfter.Milliseconds(), "max_streams": 1},
+		"classes": classes,
+	}
+}
+
+// Config is the configuration file of a gateway, in the platform's form.
+func (w *World) Config(name string, rank int, listen, discovery string) ([]byte, error) {
+	g := w.File.Gateways
+	return json.MarshalIndent(map[string]any{
+		"name": name, "listen": listen, "discovery": discovery, "seed": fmt.Sprintf("%016x", w.seed*2654435761+uint64(rank)),
+		"limits":   map[string]any{"cores": g.Cores, "memory_mb": g.MemoryMB, "sockets": g.Sockets},
+		"known":    json.RawMessage(w.disc.Known(name)),
+		"settings": w.Settings(rank),
+	}, "", " ")
+}
+
+// gateway is one gateway process, restarted under its name and address.
+type gateway struct {
+	name   string
+	addr   string
+	rank   int
+	config string
+	log    string
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	ended   chan error // closed over by the present process
+	planned bool       // its end is no crash
+	kills   []time.Duration
+	stops   []time.Duration // SIGTERMs
+	starts  int
+	series  gatewaySeries
+}
+
+// startGateways starts the processes and waits until all are ready.
+func (w *World) startGateways(ctx context.Context, program, dir string) error {
+	w.dir = dir
+	program, err := filepath.Abs(program)
+	if err != nil {
+		return err
+	}
+	for i := range w.File.Gateways.Count {
+		addr, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		g := &gateway{name: gatewayName(i), addr: addr, rank: i}
+		g.config = filepath.Join(dir, g.name+".json")
+		g.log = filepath.Join(dir, g.name+".log")
+		_ = os.Remove(g.log)
+		w.gateways = append(w.gateways, g)
+		if err := w.startGateway(g, program); err != nil {
+			return err
+		}
+	}
+	for _, g := range w.gateways {
+		if err := w.ready(ctx, g); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func gatewayName(i int) string { return fmt.Sprintf("gateway-%d", i) }
+
+func gatewayNames(n int) []string {
+	names := make([]string, n)
+	for i := range names {
+		names[i] = gatewayName(i)
+	}
+	return names
+}
+
+// freeAddress is a port that was free a moment ago; the gateway must listen on one that it is told.
+func freeAddress() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+func (w *World) ready(ctx context.Context, g *gateway) error {
+	for end := time.Now().Add(readyWait); !load.Healthy(ctx, g.addr); {
+		g.mu.Lock()
+		ended := g.ended
+		g.mu.Unlock()
+		select {
+		case err := <-ended:
+			return fmt.Errorf("%s ended before it was ready (%v), see %s", g.name, err, g.log)
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(20 * time.Millisecond):
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("%s was not ready within %v, see %s", g.name, readyWait, g.log)
+		}
+	}
+	return nil
+}
+
+// startGateway starts a process that knows nothing but the list as it stands.
+func (w *World) startGateway(g *gateway, program string) error {
+	conf, err := w.Config(g.name, g.rank, g.addr, w.disc.Addr(g.name))
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(g.config, conf, 0o600); err != nil {
+		return err
+	}
+	out, err := os.OpenFile(g.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	// The shell sets the limit on descriptors and gives way to the program, so that its pid is the program's.
+	cmd := exec.Command("/bin/sh", "-c", `ulimit -n "$1" && exec "$2"`, "sh", fmt.Sprint(w.File.Gateways.Sockets), program)
+	cmd.Env = append(os.Environ(), "LB_CONFIG="+g.config, "LB_NAME="+g.name, "LB_LISTEN="+g.addr,
+		"LB_DISCOVERY="+w.disc.Addr(g.name), "LB_LOG="+w.File.Gateways.Log)
+	cmd.Stdout, cmd.Stderr = out, out
+	// It must not outlive a laboratory that dies.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("%s: %w", g.name, err)
+	}
+	ended := make(chan error, 2)
+	g.mu.Lock()
+	g.cmd, g.ended, g.planned = cmd, ended, false
+	g.starts++
+	g.mu.Unlock()
+	go func() {
+		err := cmd.Wait()
+		g.mu.Lock()
+		planned := g.planned
+		g.mu.Unlock()
+		if !planned {
+			w.mu.Lock()
+			w.findings = append(w.findings, ledger.Finding{Rule: ledger.GatewayDied, ID: g.name, At: w.Clock(),
+				Detail: fmt.Sprintf("ended by itself: %v, see %s", err, g.log)})
+			w.mu.Unlock()
+		}
+		ended <- err
+	}()
+	return nil
+}
+
+// kill ends a gateway as kill -9 does.
+func (w *World) kill(g *gateway) {
+	g.mu.Lock()
+	g.planned = true
+	g.kills = append(g.kills, w.Clock())
+	cmd, ended := g.cmd, g.ended
+	g.mu.Unlock()
+	_ = cmd.Process.Kill()
+	<-ended
+	ended <- nil
+	w.disc.Forget(g.name)
+}
+
+// stop ends a gateway as a planned restart does, and reports whether it ended well.
+func (w *World) stop(g *gateway, front *load.Front) {
+	g.mu.Lock()
+	g.planned = true
+	g.stops = append(g.stops, w.Clock())
+	cmd, ended := g.cmd, g.ended
+	g.mu.Unlock()
+	_ = cmd.Process.Signal(syscall.SIGTERM)
+	if front != nil {
+		time.AfterFunc(leaveFront, func() { front.Leave(g.addr) })
+	}
+	longest := time.Duration(0)
+	for _, c := range w.File.Classes {
+		longest = max(longest, c.Patience.Duration)
+	}
+	select {
+	case err := <-ended:
+		if err != nil {
+			w.mu.Lock()
+			w.findings = append(w.findings, ledger.Finding{Rule: ledger.GatewayDied, ID: g.name, At: w.Clock(),
+				Detail: fmt.Sprintf("after SIGTERM: %v, see %s", err, g.log)})
+			w.mu.Unlock()
+		}
+	case <-time.After(longest + killAfter):
+		_ = cmd.Process.Kill()
+		<-ended
+	}
+	ended <- nil
+	w.disc.Forget(g.name)
+}
+
+// excused tells whether a try was lost for a reason that no rule forbids: its gateway was killed while it held
+// the try, or the try came to it long after SIGTERM.
+func (w *World) excused(t ledger.Try) bool {
+	for _, g := range w.gateways {
+		if g.addr != t.Target {
+			continue
+		}
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		for _, k := range g.kills {
+			if t.Sent <= k+killSpread && t.Ended >= k-killSpread {
+				return true
+			}
+		}
+		for _, s := range g.stops {
+			if t.Sent >= s+lateTaken && t.Sent <= s+10*time.Second {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// killSpread is how far apart the clock was read from the kill itself.
+const killSpread = 20 * time.Millisecond
+
+// Close ends everything and returns the hosts' ledgers, at rest.
+func (w *World) Close() []*ledger.Host {
+	for _, g := range w.gateways {
+		g.mu.Lock()
+		cmd, ended := g.cmd, g.ended
+		g.planned = true
+		g.mu.Unlock()
+		if cmd != nil {
+			_ = cmd.Process.Kill()
+			<-ended
+			ended <- nil
+		}
+	}
+	for _, m := range w.members() {
+		if !m.gone.Load() {
+			w.ledgers = append(w.ledgers, m.Host.Close())
+			m.gone.Store(true)
+		}
+	}
+	w.disc.Close()
+	return w.ledgers
+}
--- /dev/null
+++ b/internal/lab/ledger/ledger.go
@@ -0,0 +1,198 @@
+// Package ledger keeps what clients sent and got, and what hosts were sent and made, each by the request's id,
+// and compares the two. The comparison is the laboratory's judge: neither side's own figures are believed.
+//
+// The package does no I/O and has no clock; times are those of the run, counted from its start.
+package ledger
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/zeebo/xxh3"
+)
+
+// Try is one request as a client sent it. A client's retry is a try of its own, with an id of its own.
+type Try struct {
+	ID      string
+	Request int    // the number of the request that it belongs to; retries share it
+	Number  int    // 0 for the first try
+	Class   string // the class's name
+	Unsafe  bool   // the class must not run twice
+	Target  string // the gateway's address
+	Body    int    // bytes
+	Due     time.Duration
+	// Patience is how long its client waits from the last byte on.
+	Patience time.Duration
+	Sent     time.Duration // its last byte was written; with Whole
+	Ended    time.Duration // the client's last word on it
+	Whole    bool          // its last byte was written to an accepted connection
+	Answers  int           // whole answers that came for it
+	Status   int           // of the first answer; 0 if none came
+	Hash     uint64        // of the first answer's body, see Hash
+	Left     bool          // the client's time ran out before an answer
+	Cause    string        // how it ended without an answer, in words
+}
+
+// Clients is the clients' side. Its methods may be called from several goroutines.
+type Clients struct {
+	mu    sync.Mutex
+	tries map[string]*Try
+	order []*Try
+}
+
+// NewClients returns an empty ledger.
+func NewClients() *Clients { return &Clients{tries: make(map[string]*Try)} }
+
+// Add enters a try before it is sent. An id in use already is refused: the generator must not reuse ids.
+func (c *Clients) Add(t Try) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.tries[t.ID] != nil {
+		return fmt.Errorf("ledger: id %s sent twice", t.ID)
+	}
+	c.tries[t.ID] = &t
+	c.order = append(c.order, &t)
+	return nil
+}
+
+// Update changes a try under the ledger's lock. Unknown ids are ignored.
+func (c *Clients) Update(id string, change func(*Try)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t := c.tries[id]; t != nil {
+		change(t)
+	}
+}
+
+// Tries returns copies of all tries in the order in which they were entered.
+func (c *Clients) Tries() []Try {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := make([]Try, len(c.order))
+	for i, t := range c.order {
+		all[i] = *t
+	}
+	return all
+}
+
+// Entry is what one host knows of one id.
+type Entry struct {
+	Arrivals   int      // whole requests with this id
+	Begun      int      // executions begun
+	Ended      int      // executions ended
+	TurnedAway int      // arrivals answered that they never ran
+	Returned   []uint64 // hashes of the bodies made for it
+}
+
+// Host is the side of one host. It has no lock: the host's model is used by one goroutine at a time.
+type Host struct {
+	Name    string
+	entries map[string]*Entry
+}
+
+// NewHost returns an empty ledger.
+func NewHost(name string) *Host { return &Host{Name: name, entries: make(map[string]*Entry)} }
+
+// Of returns the entry of an id, made if need be.
+func (h *Host) Of(id string) *Entry {
+	e := h.entries[id]
+	if e == nil {
+		e = &Entry{}
+		h.entries[id] = e
+	}
+	return e
+}
+
+// Find returns the entry of an id, or nil.
+func (h *Host) Find(id string) *Entry { return h.entries[id] }
+
+// Len is the number of ids known.
+func (h *Host) Len() int { return len(h.entries) }
+
+// Hash is that of a body.
+func Hash(body []byte) uint64 { return xxh3.Hash(body) }
+
+// The rules that a comparison can find broken, as reports name them.
+const (
+	Unanswered    = "unanswered"         // taken whole by a running gateway and never answered in the client's time
+	AnsweredTwice = "answered twice"     // more than one answer for an id
+	RanTwice      = "executed twice"     // an unsafe request begun more than once, at whichever hosts
+	ForeignBody   = "foreign body"       // served with a body that no host made for it
+	RefusedRan    = "refused after run"  // 429 or 503 to an unsafe request that a host began
+	InventedID    = "invented id"        // an id at a host that no client sent
+	LateToDrained = "sent after drain"   // a request to a host too long after its gateway was told
+	PushedOver    = "cold host pushed"   // a cold host was sent more than it survives
+	GatewayDied   = "gateway crashed"    // a gateway ended without being told to
+	OverMemory    = "memory over limit"  // a gateway's resident memory went over what it was given
+	OverSockets   = "sockets over limit" // a gateway held more descriptors than it was given
+)
+
+// Rules lists every rule in the order in which reports show them.
+func Rules() []string {
+	return []string{Unanswered, AnsweredTwice, RanTwice, ForeignBody, RefusedRan, InventedID, LateToDrained,
+		PushedOver, GatewayDied, OverMemory, OverSockets}
+}
+
+// Finding is a broken rule, by the id it concerns.
+type Finding struct {
+	Rule   string        `json:"rule"`
+	ID     string        `json:"id"` // the request's, or the host's or gateway's name
+	At     time.Duration `json:"at_ns"`
+	Detail string        `json:"detail"`
+}
+
+// Compare sets the clients' ledger against the hosts'. excused tells which unanswered tries were lost for a
+// reason that no rule forbids, as with a gateway that was killed; the number of those is returned. The hosts'
+// ledgers must be at rest.
+func Compare(tries []Try, hosts []*Host, excused func(Try) bool) (found []Finding, crashed int) {
+	known := make(map[string]bool, len(tries))
+	for _, t := range tries {
+		known[t.ID] = true
+		var begun int
+		var made []uint64
+		var at []string
+		for _, h := range hosts {
+			if e := h.entries[t.ID]; e != nil {
+				begun += e.Begun
+				made = append(made, e.Returned...)
+				at = append(at, fmt.Sprintf("%s %d", h.Name, e.Begun))
+			}
+		}
+		say := func(rule, format string, args ...any) {
+			found = append(found, Finding{Rule: rule, ID: t.ID, At: t.Ended, Detail: fmt.Sprintf(format, args...)})
+		}
+		if t.Whole && t.Answers == 0 {
+			if excused != nil && excused(t) {
+				crashed++
+			} else {
+				say(Unanswered, "%s sent to %s at %v: %s", t.Class, t.Target, t.Sent, t.Cause)
+			}
+		}
+		if t.Answers > 1 {
+			say(AnsweredTwice, "%s got %d answers from %s", t.Class, t.Answers, t.Target)
+		}
+		if t.Unsafe && begun > 1 {
+			say(RanTwice, "%s begun %d times (%v)", t.Class, begun, at)
+		}
+		if t.Answers > 0 && t.Status == 200 && !slices.Contains(made, t.Hash) {
+			say(ForeignBody, "%s served by %s, hosts made %d bodies for it", t.Class, t.Target, len(made))
+		}
+		if t.Unsafe && begun > 0 && (t.Status == 429 || t.Status == 503) {
+			say(RefusedRan, "%s answered %d though begun (%v)", t.Class, t.Status, at)
+		}
+	}
+	for _, h := range hosts {
+		for id := range h.entries {
+			if !known[id] {
+				found = append(found, Finding{Rule: InventedID, ID: id, Detail: "at host " + h.Name})
+			}
+		}
+	}
+	slices.SortStableFunc(found, func(a, b Finding) int {
+		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Rule, b.Rule), cmp.Compare(a.ID, b.ID))
+	})
+	return found, crashed
+}
--- /dev/null
+++ b/internal/lab/report/plots.go
@@ -0,0 +1,208 @@
+// Package report shows runs: one self-contained page with plots, a comparison of two runs, and a summary in
+// words. It needs no network and no scripts.
+package report
+
+import (
+	"bytes"
+	"fmt"
+	"html/template"
+	"image/color"
+	"math"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"thymebend/internal/lab/experiment"
+)
+
+// line is one line of a plot.
+type line struct {
+	name   string
+	xs, ys []float64
+	dashed bool
+	color  color.Color // nil takes the next of the palette
+	steps  bool
+}
+
+// chart is one plot.
+type chart struct {
+	title  string
+	x, y   string
+	lines  []line
+	marks  []experiment.Mark
+	width  vg.Length // 0 takes the usual
+	height vg.Length
+	from   float64 // the y axis covers at least from to to
+	to     float64
+	hdr    bool // the x axis is that of an HDR plot
+	length float64
+}
+
+// palette is distinguishable for the colour-blind (Okabe and Ito).
+func palette() []color.Color {
+	return []color.Color{color.RGBA{0, 114, 178, 255}, color.RGBA{213, 94, 0, 255}, color.RGBA{0, 158, 115, 255},
+		color.RGBA{204, 121, 167, 255}, color.RGBA{230, 159, 0, 255}, color.RGBA{86, 180, 233, 255}, color.RGBA{90, 90, 90, 255},
+		color.RGBA{150, 100, 40, 255}}
+}
+
+func grey() color.Color { return color.RGBA{130, 130, 130, 255} }
+
+// svg draws a chart.
+func (c chart) svg() (template.HTML, error) {
+	p := plot.New()
+	p.Title.Text = c.title
+	p.Title.TextStyle.Font.Size = 12
+	p.X.Label.Text, p.Y.Label.Text = c.x, c.y
+	p.Legend.Top, p.Legend.Left = true, false
+	p.Legend.Padding = 2
+	p.Legend.YOffs = -2
+	colors := palette()
+	grid := plotter.NewGrid()
+	grid.Vertical.Color, grid.Horizontal.Color = color.RGBA{225, 225, 225, 255}, color.RGBA{225, 225, 225, 255}
+	p.Add(grid)
+	low, high := c.from, c.to
+	right := c.length
+	for _, l := range c.lines {
+		for i, y := range l.ys {
+			if !math.IsNaN(y) {
+				low, high = min(low, y), max(high, y)
+			}
+			right = max(right, l.xs[i])
+		}
+	}
+	if high <= low {
+		high = low + 1
+	}
+	// Room above for the legend and the numbers of the events.
+	top := high + (high-low)*0.06
+	if len(c.lines) > 1 {
+		top = high + (high-low)*(0.08+0.075*float64(len(c.lines)))
+	}
+	for _, m := range c.marks {
+		v, err := plotter.NewLine(plotter.XYs{{X: m.At, Y: low}, {X: m.At, Y: top}})
+		if err != nil {
+			return "", err
+		}
+		v.Color, v.Dashes, v.Width = grey(), []vg.Length{2, 3}, 0.6
+		p.Add(v)
+	}
+	for i, l := range c.lines {
+		col := l.color
+		if col == nil {
+			col = colors[i%len(colors)]
+		}
+		first := true
+		for _, run := range pieces(l) {
+			drawn, err := plotter.NewLine(run)
+			if err != nil {
+				return "", err
+			}
+			drawn.Color, drawn.Width = col, 1.4
+			if l.steps {
+				drawn.StepStyle = plotter.PostStep
+			}
+			if l.dashed {
+				drawn.Dashes = []vg.Length{5, 3}
+			}
+			p.Add(drawn)
+			if first && l.name != "" && len(c.lines) > 1 {
+				p.Legend.Add(l.name, drawn)
+			}
+			first = false
+		}
+	}
+	if labels := c.numbers(top); labels != nil {
+		l, err := plotter.NewLabels(*labels)
+		if err != nil {
+			return "", err
+		}
+		for i := range l.TextStyle {
+			l.TextStyle[i].Font.Size, l.TextStyle[i].Color = 8, grey()
+		}
+		l.Offset = vg.Point{X: 1, Y: -9}
+		p.Add(l)
+	}
+	p.Y.Min, p.Y.Max = low, top
+	if c.hdr {
+		p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, percentileTicks{}
+		p.X.Min, p.X.Max = 1, max(1000, right)
+	} else {
+		p.X.Min, p.X.Max = 0, max(1, right)
+	}
+	width, height := c.width, c.height
+	if width == 0 {
+		width = 24 * vg.Centimeter
+	}
+	if height == 0 {
+		height = 7 * vg.Centimeter
+	}
+	canvas := vgsvg.New(width, height)
+	p.Draw(draw.New(canvas))
+	var out bytes.Buffer
+	if _, err := canvas.WriteTo(&out); err != nil {
+		return "", err
+	}
+	text := out.String()
+	if at := strings.Index(text, "<svg"); at > 0 {
+		text = text[at:] // without the prologue of a file of its own
+	}
+	return template.HTML(text), nil //nolint:gosec // drawn above, with all text escaped by the drawing library
+}
+
+// pieces splits a line where it has no value.
+func pieces(l line) (out []plotter.XYs) {
+	var run plotter.XYs
+	for i := range l.xs {
+		if math.IsNaN(l.ys[i]) {
+			if len(run) > 0 {
+				out = append(out, run)
+			}
+			run = nil
+			continue
+		}
+		run = append(run, plotter.XY{X: l.xs[i], Y: l.ys[i]})
+	}
+	if len(run) > 0 {
+		out = append(out, run)
+	}
+	return out
+}
+
+// numbers label the events, as the list below the plots has them. Where they would lie on one another only the
+// first is shown.
+func (c chart) numbers(top float64) *plotter.XYLabels {
+	if len(c.marks) == 0 {
+		return nil
+	}
+	out := &plotter.XYLabels{}
+	last := math.Inf(-1)
+	for i, m := range c.marks {
+		if m.At-last < c.length*0.018 {
+			continue
+		}
+		last = m.At
+		out.XYs = append(out.XYs, plotter.XY{X: m.At, Y: top})
+		out.Labels = append(out.Labels, fmt.Sprint(i+1))
+	}
+	return out
+}
+
+// percentileTicks are those of an HDR plot: x is 1/(1-p).
+type percentileTicks struct{}
+
+// Ticks implements plot.Ticker.
+func (percentileTicks) Ticks(_, most float64) (out []plot.Tick) {
+	for _, t := range []struct {
+		at    float64
+		label string
+	}{{1, "0%"}, {2, "50%"}, {10, "90%"}, {100, "99%"}, {1000, "99.9%"}, {1e4, "99.99%"}, {1e5, "99.999%"}} {
+		if t.at <= most*1.001 {
+			out = append(out, plot.Tick{Value: t.at, Label: t.label})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/lab/standin/discovery.go
@@ -0,0 +1,369 @@
+package standin
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// The states of a host in discovery's list.
+const (
+	StateUp       = "up"
+	StateDraining = "draining"
+	StateRemoved  = "removed"
+)
+
+// Entry is a host as discovery lists it. Dial gives the address for a gateway, which may differ from one to
+// the next.
+type Entry struct {
+	Host, Site, Kind string
+	State            string
+	Born             int64 // Unix time in milliseconds; 0 means long ago
+	Dial             map[string]string
+}
+
+// Told is when a gateway was told that a host drains or is gone.
+type Told struct {
+	At    time.Duration
+	State string
+}
+
+// beatEvery is how often an empty line comes while nothing changes.
+const beatEvery = 2 * time.Second
+
+// moveGrace is how long the old address of discovery keeps its open connections after a move.
+const moveGrace = 1500 * time.Millisecond
+
+// Discovery plays discovery: the list, watches with beats, and its failures. Each gateway has a door of its
+// own, so that what each was told is known.
+type Discovery struct {
+	clock Clock
+
+	mu      sync.Mutex
+	changed *sync.Cond
+	seq     int
+	entries map[string]Entry
+	order   []string
+	log     []change // what changed, oldest first
+	down    bool
+	mute    bool // beats and changes stay inside
+	lag     time.Duration
+	doors   map[string]*entrance
+	told    map[string]map[string]Told // by gateway, by host
+	calls   int
+	closed  bool
+	served  sync.WaitGroup
+}
+
+type change struct {
+	seq  int
+	host string
+}
+
+type entrance struct {
+	addr  string
+	ln    net.Listener
+	conns map[net.Conn]bool
+}
+
+// NewDiscovery returns a discovery that lists nothing. A change shows after the lag.
+func NewDiscovery(clock Clock, lag time.Duration) *Discovery {
+	d := &Discovery{clock: clock, lag: lag, entries: make(map[string]Entry), doors: make(map[string]*entrance),
+		told: make(map[string]map[string]Told)}
+	d.changed = sync.NewCond(&d.mu)
+	return d
+}
+
+// Open opens a gateway's door, or moves it: the old one then accepts nothing more, and closes its connections
+// after a while.
+func (d *Discovery) Open(gateway, addr string) (string, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return "", fmt.Errorf("discovery: %w", err)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if old := d.doors[gateway]; old != nil {
+		_ = old.ln.Close()
+		time.AfterFunc(moveGrace, func() {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			for c := range old.conns {
+				_ = c.Close()
+			}
+		})
+	}
+	e := &entrance{addr: ln.Addr().String(), ln: ln, conns: make(map[net.Conn]bool)}
+	d.doors[gateway] = e
+	d.served.Go(func() { d.accept(gateway, e) })
+	return e.addr, nil
+}
+
+func (d *Discovery) accept(gateway string, e *entrance) {
+	for {
+		c, err := e.ln.Accept()
+		if err != nil {
+			return
+		}
+		d.mu.Lock()
+		if d.closed {
+			d.mu.Unlock()
+			reset(c)
+			continue
+		}
+		e.conns[c] = true
+		d.served.Go(func() {
+			d.serve(gateway, c)
+			_ = c.Close()
+			d.mu.Lock()
+			delete(e.conns, c)
+			d.mu.Unlock()
+		})
+		d.mu.Unlock()
+	}
+}
+
+func (d *Discovery) serve(gateway string, c net.Conn) {
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		d.mu.Lock()
+		d.calls++
+		down := d.down
+		d.mu.Unlock()
+		q := r.URL.Query()
+		switch {
+		case down:
+			_ = write(c, 503, "", nil)
+			return
+		case r.Method != "GET" || r.URL.Path != "/v1/servers":
+			if !write(c, 404, "", nil) {
+				return
+			}
+		case q.Get("stream") == "1":
+			after, _ := strconv.Atoi(q.Get("index"))
+			gone := make(chan bool)
+			go func() { _, _ = io.Copy(io.Discard, c); close(gone); d.changed.Broadcast() }()
+			d.watch(gateway, c, after, gone)
+			return
+		default:
+			d.mu.Lock()
+			line := d.line(gateway, 0)
+			d.mu.Unlock()
+			if !write(c, 200, "Content-Type: application/json\r\n", line) {
+				return
+			}
+		}
+	}
+}
+
+// watch writes what changed after a version, then each change as it comes, and a beat while nothing does.
+func (d *Discovery) watch(gateway string, c net.Conn, after int, gone chan bool) {
+	if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"); err != nil {
+		return
+	}
+	beat := time.AfterFunc(beatEvery, d.changed.Broadcast)
+	defer beat.Stop()
+	last, first := d.clock(), true
+	for {
+		d.mu.Lock()
+		var line []byte
+		for {
+			select {
+			case <-gone:
+				d.mu.Unlock()
+				return
+			default:
+			}
+			if d.closed || d.down {
+				d.mu.Unlock()
+				reset(c)
+				return
+			}
+			if !d.mute && (first || d.seq > after) {
+				line = d.line(gateway, after)
+				break
+			}
+			if !d.mute && d.clock()-last >= beatEvery {
+				break
+			}
+			d.changed.Wait()
+		}
+		after, first, last = d.seq, false, d.clock()
+		beat.Reset(beatEvery + time.Millisecond)
+		// Written under the lock: what is told is told in order, and the time of it is known.
+		_ = c.SetWriteDeadline(time.Now().Add(time.Second))
+		_, err := fmt.Fprintf(c, "%x\r\n%s\n\r\n", len(line)+1, line)
+		if err == nil && line != nil {
+			d.note(gateway)
+		}
+		d.mu.Unlock()
+		if err != nil {
+			return
+		}
+	}
+}
+
+// note keeps when a gateway was first told that a host drains or is gone.
+func (d *Discovery) note(gateway string) {
+	told := d.told[gateway]
+	if told == nil {
+		told = make(map[string]Told)
+		d.told[gateway] = told
+	}
+	for name, e := range d.entries {
+		if was, known := told[name]; e.State == StateUp {
+			delete(told, name)
+		} else if !known || was.State == StateUp {
+			told[name] = Told{d.clock(), e.State}
+		}
+	}
+}
+
+type wireEntry struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Class  string  `json:"class"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+	Born   int64   `json:"born_ms"`
+}
+
+// line is the list for a gateway: what changed after a version, or all of it. Called with the lock held.
+func (d *Discovery) line(gateway string, after int) []byte {
+	whole := after <= 0 || after > d.seq
+	doc := struct {
+		Seq   int         `json:"seq"`
+		Whole bool        `json:"whole"`
+		Hosts []wireEntry `json:"hosts"`
+	}{d.seq, whole, []wireEntry{}}
+	for _, name := range d.order {
+		e := d.entries[name]
+		if whole && e.State == StateRemoved ||
+			!whole && !slices.ContainsFunc(d.log, func(c change) bool { return c.seq > after && c.host == name }) {
+			continue
+		}
+		doc.Hosts = append(doc.Hosts, wireEntry{Host: e.Host, Dial: e.Dial[gateway], Site: e.Site, Class: e.Kind,
+			Health: e.State, Share: 1, Born: e.Born})
+	}
+	line, err := json.Marshal(doc)
+	if err != nil {
+		panic(err) // plain values cannot fail
+	}
+	return line
+}
+
+// Known is the list as it stands, as a gateway that restarts would have it.
+func (d *Discovery) Known(gateway string) []byte {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.line(gateway, 0)
+}
+
+// Put enters or changes hosts after the lag, all in one version.
+func (d *Discovery) Put(entries ...Entry) { d.after(d.lagNow(), entries) }
+
+// PutNow does so at once.
+func (d *Discovery) PutNow(entries ...Entry) { d.after(0, entries) }
+
+func (d *Discovery) lagNow() time.Duration { d.mu.Lock(); defer d.mu.Unlock(); return d.lag }
+
+func (d *Discovery) after(lag time.Duration, entries []Entry) {
+	if lag > 0 {
+		time.AfterFunc(lag, func() { d.after(0, entries) })
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.seq++
+	for _, e := range entries {
+		if _, known := d.entries[e.Host]; !known {
+			d.order = append(d.order, e.Host)
+		}
+		d.entries[e.Host] = e
+		d.log = append(d.log, change{d.seq, e.Host})
+	}
+	d.changed.Broadcast()
+}
+
+// Flap tells every gateway the same list anew, as a discovery does that restarts without its memory.
+func (d *Discovery) Flap() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.seq += 1000
+	for _, name := range d.order {
+		d.log = append(d.log, change{d.seq, name})
+	}
+	d.changed.Broadcast()
+}
+
+// SetDown takes discovery down or brings it back: calls get 503, watches end.
+func (d *Discovery) SetDown(on bool) { d.set(func() { d.down = on }) }
+
+// SetMute makes discovery say nothing more on its open watches, beats included, or speak again.
+func (d *Discovery) SetMute(on bool) { d.set(func() { d.mute = on }) }
+
+// SetLag changes how late changes show.
+func (d *Discovery) SetLag(lag time.Duration) { d.set(func() { d.lag = lag }) }
+
+func (d *Discovery) set(change func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	change()
+	d.changed.Broadcast()
+}
+
+// Told returns when a gateway was told that a host drains or is gone; ok is false if it was not.
+func (d *Discovery) Told(gateway, host string) (t Told, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t, ok = d.told[gateway][host]
+	return t, ok
+}
+
+// Forget drops what a gateway was told, as one that has restarted knows it no more.
+func (d *Discovery) Forget(gateway string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.told, gateway)
+}
+
+// Addr is the address of a gateway's door.
+func (d *Discovery) Addr(gateway string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e := d.doors[gateway]; e != nil {
+		return e.addr
+	}
+	return ""
+}
+
+// Calls is how often discovery was called.
+func (d *Discovery) Calls() int { d.mu.Lock(); defer d.mu.Unlock(); return d.calls }
+
+// Close ends discovery.
+func (d *Discovery) Close() {
+	d.mu.Lock()
+	d.closed = true
+	for _, e := range d.doors {
+		_ = e.ln.Close()
+		for c := range e.conns {
+			_ = c.Close()
+		}
+	}
+	d.changed.Broadcast()
+	d.mu.Unlock()
+	d.served.Wait()
+}
--- /dev/null
+++ b/internal/lab/standin/host.go
@@ -0,0 +1,516 @@
+// Package standin plays the gateway's peers on real loopback sockets: hosts that run the fleet's model, with
+// every failure that sockets have, and discovery. Everything can be changed while it runs.
+package standin
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"thymebend/internal/lab/fleet"
+	"thymebend/internal/lab/ledger"
+)
+
+// Clock tells the time of the run.
+type Clock func() time.Duration
+
+// NewClock starts a clock at zero.
+func NewClock() Clock {
+	began := time.Now()
+	return func() time.Duration { return time.Since(began) }
+}
+
+// Mode is how a host's machine behaves as a whole.
+type Mode string
+
+// The modes.
+const (
+	Up      Mode = "up"
+	Refuse  Mode = "refuse"  // the process has ended: its connections are reset, new ones refused
+	Silent  Mode = "silent"  // the machine is cut off: connections come up or stand, nothing is read or answered
+	Hung    Mode = "hung"    // the process is stopped: it holds what it has and begins nothing
+	NoReply Mode = "noreply" // requests run, answers stay inside
+)
+
+// Modes lists them.
+func Modes() []Mode { return []Mode{Up, Refuse, Silent, Hung, NoReply} }
+
+// Fault spoils a share of a host's answers. The request has run, apart from ResetBefore.
+type Fault string
+
+// The faults.
+const (
+	ResetBefore Fault = "reset-before" // reset instead of the answer
+	ResetMiddle Fault = "reset-middle" // reset in the middle of the answer
+	Trickle     Fault = "trickle"      // the answer comes byte by byte
+	ShortLength Fault = "short-length" // Content-Length below the body: the rest lies on the connection
+	LongLength  Fault = "long-length"  // Content-Length above the body, then the end
+	ExtraBytes  Fault = "extra-bytes"  // a second copy of the answer follows the first
+	Interim     Fault = "interim"      // 1xx answers in front
+	Garbage     Fault = "garbage"      // no HTTP at all
+	Endless     Fault = "endless"      // an answer that does not end
+	CloseIdle   Fault = "close-idle"   // the connection closes soon after the answer
+	HalfClose   Fault = "half-close"   // the host ends its sending after the answer and goes on reading
+	NoLength    Fault = "no-length"    // the answer's end is the connection's
+)
+
+// Faults lists them.
+func Faults() []Fault {
+	return []Fault{ResetBefore, ResetMiddle, Trickle, ShortLength, LongLength, ExtraBytes, Interim, Garbage, Endless,
+		CloseIdle, HalfClose, NoLength}
+}
+
+// Fields names what a host reports: requests waiting, requests held, errors a second.
+type Fields struct{ Queue, InFlight, Errors string }
+
+// DefaultFields are the names that our gateway's settings use.
+func DefaultFields() Fields {
+	return Fields{Queue: "pending", InFlight: "busy_reqs", Errors: "failed_ps"}
+}
+
+// Limits of what a host reads and of how long it plays dead.
+const (
+	mostBody     = 64 << 10
+	trickleEvery = 20 * time.Millisecond
+	closeSoon    = 15 * time.Millisecond
+	endlessEvery = 10 * time.Millisecond
+)
+
+// Arrived is told of every request as its first byte came, before the host runs it.
+type Arrived func(host, via, id string, first time.Duration)
+
+// Host is a host on sockets. Each gateway reaches it through a door of its own, so that what came from whom
+// is known.
+type Host struct {
+	Name    string
+	fields  Fields
+	idle    time.Duration
+	clock   Clock
+	arrived Arrived
+
+	mu     sync.Mutex
+	model  *fleet.Host
+	ledger *ledger.Host
+	rand   *rand.Rand
+	mode   Mode
+	doors  []*door
+	conns  map[*conn]bool
+	waits  map[uint64]chan fleet.Reply
+	timer  *time.Timer
+	spoil  map[Fault]spoilt
+	probes int
+	wake   *sync.Cond // a change of mode
+	closed bool
+	served sync.WaitGroup
+}
+
+type spoilt struct {
+	share float64
+	class string
+}
+
+type door struct {
+	via  string
+	addr string
+	ln   net.Listener
+}
+
+type conn struct {
+	net.Conn
+	via   string
+	model *fleet.Host // that took it: a host that restarts has a new one
+}
+
+// Options of a host.
+type Options struct {
+	Fields  Fields
+	Idle    time.Duration // a connection idle for this long is closed; 0 means never
+	Arrived Arrived       // may be nil
+	Seed    uint64
+	Cold    bool
+}
+
+// NewHost starts a host's model; doors are opened one by one.
+func NewHost(spec fleet.Spec, clock Clock, o Options) (*Host, error) {
+	l := ledger.NewHost(spec.Name)
+	model, err := fleet.New(spec, o.Seed, clock(), o.Cold, l)
+	if err != nil {
+		return nil, err
+	}
+	if o.Fields == (Fields{}) {
+		o.Fields = DefaultFields()
+	}
+	h := &Host{Name: spec.Name, fields: o.Fields, idle: o.Idle, clock: clock, arrived: o.Arrived, model: model,
+		ledger: l, rand: rand.New(rand.NewPCG(o.Seed, 1)), mode: Up, conns: make(map[*conn]bool),
+		waits: make(map[uint64]chan fleet.Reply), spoil: make(map[Fault]spoilt)}
+	h.wake = sync.NewCond(&h.mu)
+	h.timer = time.AfterFunc(time.Hour, h.tick)
+	return h, nil
+}
+
+// Open opens a door for a gateway at an address; port 0 takes a free one. It returns the address.
+func (h *Host) Open(via, addr string) (string, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return "", fmt.Errorf("host %s: %w", h.Name, err)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	d := &door{via: via, addr: ln.Addr().String(), ln: ln}
+	h.doors = append(h.doors, d)
+	h.served.Go(func() { h.accept(d, ln) })
+	return d.addr, nil
+}
+
+func (h *Host) accept(d *door, ln net.Listener) {
+	for {
+		raw, err := ln.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			time.Sleep(time.Millisecond) // out of descriptors
+			continue
+		}
+		h.mu.Lock()
+		h.untilHeard()
+		c := &conn{Conn: raw, via: d.via, model: h.model}
+		if h.closed || h.mode == Refuse || !h.model.Connected(h.clock()) {
+			h.mu.Unlock()
+			reset(raw)
+			continue
+		}
+		h.conns[c] = true
+		h.served.Go(func() { h.serve(c) })
+		h.mu.Unlock()
+	}
+}
+
+// untilHeard waits while the machine is cut off. It is called with the lock held.
+func (h *Host) untilHeard() {
+	for h.mode == Silent && !h.closed {
+		h.wake.Wait()
+	}
+}
+
+// reset closes a connection so that the other side sees a reset.
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// serve takes one request after another from a connection.
+func (h *Host) serve(c *conn) {
+	defer func() {
+		_ = c.Close()
+		h.mu.Lock()
+		delete(h.conns, c)
+		c.model.Disconnected(h.clock())
+		h.mu.Unlock()
+	}()
+	in := bufio.NewReader(c)
+	for {
+		if h.idle > 0 {
+			_ = c.SetReadDeadline(time.Now().Add(h.idle))
+		}
+		if _, err := in.Peek(1); err != nil {
+			return
+		}
+		first := h.clock()
+		_ = c.SetReadDeadline(time.Time{})
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+			return
+		}
+		body, err := io.ReadAll(io.LimitReader(r.Body, mostBody+1))
+		if err != nil {
+			return
+		}
+		if len(body) > mostBody || !h.answer(c, r, first) {
+			return
+		}
+	}
+}
+
+// answer answers a whole request and reports whether the connection goes on.
+func (h *Host) answer(c *conn, r *http.Request, first time.Duration) bool {
+	h.mu.Lock()
+	h.untilHeard()
+	if h.closed {
+		h.mu.Unlock()
+		return false
+	}
+	now := h.clock()
+	load := h.report(now)
+	if r.URL.Path == "/healthz" || r.URL.Path == "/load" {
+		h.probes++
+		h.mu.Unlock()
+		return write(c, 200, load, []byte(load+"\n"))
+	}
+	id, class := r.Header.Get("X-Trace-Id"), r.Header.Get("X-Qos")
+	if id == "" {
+		h.mu.Unlock()
+		return write(c, 404, load, nil)
+	}
+	if h.arrived != nil {
+		h.arrived(h.Name, c.via, id, first)
+	}
+	token := h.model.Arrive(now, fleet.Request{ID: id, Class: class})
+	wait := make(chan fleet.Reply, 1)
+	h.waits[token] = wait
+	h.settle(now)
+	h.mu.Unlock()
+
+	reply := <-wait
+	h.mu.Lock()
+	for (h.mode == Silent || h.mode == NoReply) && !h.closed {
+		h.wake.Wait()
+	}
+	load = h.report(h.clock())
+	fault := h.draw(class)
+	gone := h.closed || h.mode == Refuse
+	h.mu.Unlock()
+	switch {
+	case gone || reply.Kind == fleet.Lost:
+		reset(c.Conn)
+		return false
+	case reply.Kind == fleet.TurnedAway:
+		return write(c, 503, load+"X-Never-Ran: 1\r\n", []byte("turned away\n"))
+	case reply.Kind == fleet.Errored:
+		return write(c, 500, load, []byte("error\n"))
+	case fault != "":
+		return h.spoiled(c, fault, load, reply.Body)
+	}
+	return write(c, 200, load, reply.Body)
+}
+
+// report words the load report as a header line; empty if there is none.
+func (h *Host) report(now time.Duration) string {
+	l, ok := h.model.Report(now)
+	if !ok {
+		return ""
+	}
+	return fmt.Sprintf("Endpoint-Load-Metrics: TEXT %s=%.3g, %s=%.3g, %s=%.3g\r\n", h.fields.InFlight, l.InFlight,
+		h.fields.Queue, l.Queue, h.fields.Errors, l.Errors)
+}
+
+// draw picks the fault of an answer, if it has one.
+func (h *Host) draw(class string) Fault {
+	for _, f := range Faults() { // in a stated order, so that a seed gives the same faults
+		if s, ok := h.spoil[f]; ok && (s.class == "" || s.class == class) && h.rand.Float64() < s.share {
+			return f
+		}
+	}
+	return ""
+}
+
+func write(c net.Conn, status int, fields string, body []byte) bool {
+	_, err := c.Write(message(status, fields, len(body), body))
+	return err == nil
+}
+
+func message(status int, fields string, length int, body []byte) []byte {
+	head := fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n", status, http.StatusText(status), fields, length)
+	return append(head, body...)
+}
+
+// spoiled writes a spoilt answer.
+func (h *Host) spoiled(c *conn, f Fault, load string, body []byte) bool {
+	whole := message(200, load, len(body), body)
+	switch f {
+	case ResetBefore:
+		reset(c.Conn)
+		return false
+	case ResetMiddle:
+		_, _ = c.Write(whole[:len(whole)-len(body)/2-1])
+		reset(c.Conn)
+		return false
+	case Trickle:
+		for i := range whole {
+			if _, err := c.Write(whole[i : i+1]); err != nil {
+				return false
+			}
+			time.Sleep(trickleEvery)
+		}
+		return true
+	case ShortLength:
+		_, err := c.Write(message(200, load, len(body)/2, body))
+		return err == nil
+	case LongLength:
+		_, _ = c.Write(message(200, load, len(body)+100, body))
+		return false
+	case ExtraBytes:
+		_, err := c.Write(slices.Concat(whole, whole))
+		return err == nil
+	case Interim:
+		_, err := c.Write(slices.Concat([]byte("HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"), whole))
+		return err == nil
+	case Garbage:
+		noise := make([]byte, 300)
+		h.mu.Lock()
+		for i := range noise {
+			noise[i] = byte(h.rand.Uint32())
+		}
+		h.mu.Unlock()
+		_, err := c.Write(noise)
+		return err == nil
+	case Endless:
+		if _, err := c.Write(message(200, load, 3<<30, body)); err != nil {
+			return false
+		}
+		for piece := make([]byte, 4096); ; time.Sleep(endlessEvery) {
+			if _, err := c.Write(piece); err != nil {
+				return false
+			}
+		}
+	case CloseIdle:
+		_, _ = c.Write(whole)
+		time.Sleep(closeSoon)
+		return false
+	case HalfClose:
+		_, _ = c.Write(whole)
+		if t, ok := c.Conn.(*net.TCPConn); ok {
+			_ = t.CloseWrite()
+		}
+		_, _ = io.Copy(io.Discard, c)
+		return false
+	case NoLength:
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sConnection: close\r\n\r\n%s", load, body)
+		return false
+	}
+	return true
+}
+
+// settle hands out the replies that are due and sets the timer for the next. It is called with the lock held.
+func (h *Host) settle(now time.Duration) {
+	for _, r := range h.model.Advance(now) {
+		if w := h.waits[r.Token]; w != nil {
+			delete(h.waits, r.Token)
+			w <- r
+		}
+	}
+	if at, ok := h.model.Next(); ok {
+		h.timer.Reset(max(0, at-h.clock()))
+	} else {
+		h.timer.Stop()
+	}
+}
+
+func (h *Host) tick() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.closed {
+		h.settle(h.clock())
+	}
+}
+
+// Do changes or reads the model under the host's lock.
+func (h *Host) Do(f func(now time.Duration, m *fleet.Host)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock()
+	f(now, h.model)
+	h.settle(now)
+}
+
+// SetMode changes how the machine behaves.
+func (h *Host) SetMode(m Mode) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	was := h.mode
+	h.mode = m
+	now := h.clock()
+	h.model.Hold(now, m == Hung)
+	switch {
+	case m == Refuse && was != Refuse:
+		h.model.Fall(now)
+		for _, d := range h.doors {
+			_ = d.ln.Close()
+		}
+		for c := range h.conns {
+			reset(c.Conn)
+		}
+	case was == Refuse && m != Refuse:
+		if err := h.restart(now, h.model.Spec().Cold.For > 0); err != nil {
+			return err
+		}
+	}
+	h.settle(now)
+	h.wake.Broadcast()
+	return nil
+}
+
+// restart begins anew, at the same addresses and with the same ledger. Called with the lock held.
+func (h *Host) restart(now time.Duration, cold bool) error {
+	model, err := fleet.New(h.model.Spec(), h.rand.Uint64(), now, cold, h.ledger)
+	if err != nil {
+		return err
+	}
+	h.model = model
+	for _, d := range h.doors {
+		if d.ln, err = net.Listen("tcp", d.addr); err != nil {
+			return fmt.Errorf("host %s: %w", h.Name, err)
+		}
+		ln := d.ln
+		h.served.Go(func() { h.accept(d, ln) })
+	}
+	return nil
+}
+
+// Addr is the address of a gateway's door.
+func (h *Host) Addr(via string) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, d := range h.doors {
+		if d.via == via {
+			return d.addr
+		}
+	}
+	return ""
+}
+
+// Spoil makes a share of the answers faulty, of one class or, with an empty class, of all. A zero share ends it.
+func (h *Host) Spoil(f Fault, share float64, class string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.spoil[f] = (spoilt{share, class}); share <= 0 {
+		delete(h.spoil, f)
+	}
+}
+
+// Probes is how many times the host was asked for its health or load.
+func (h *Host) Probes() int { h.mu.Lock(); defer h.mu.Unlock(); return h.probes }
+
+// Conns is the number of open connections.
+func (h *Host) Conns() int { h.mu.Lock(); defer h.mu.Unlock(); return len(h.conns) }
+
+// Close ends the host and returns its ledger, at rest.
+func (h *Host) Close() *ledger.Host {
+	h.mu.Lock()
+	h.closed = true
+	h.timer.Stop()
+	for _, d := range h.doors {
+		_ = d.ln.Close()
+	}
+	for c := range h.conns {
+		reset(c.Conn)
+	}
+	for token, w := range h.waits {
+		delete(h.waits, token)
+		w <- fleet.Reply{Kind: fleet.Lost}
+	}
+	h.wake.Broadcast()
+	h.mu.Unlock()
+	h.served.Wait()
+	return h.ledger
+}
--- /dev/null
+++ b/internal/lab/tomlfile/tomlfile_test.go
@@ -0,0 +1,55 @@
+package tomlfile
+
+import (
+	"strings"
+	"testing"
+)
+
+type sample struct {
+	Name  string `toml:"name"`
+	Hosts struct {
+		Lag Duration `toml:"lag"`
+	} `toml:"hosts"`
+	Event []struct {
+		At   Duration `toml:"at"`
+		Kind struct {
+			Share float64 `toml:"share"`
+		} `toml:"kind"`
+	} `toml:"event"`
+}
+
+// A fault names file, line, column, field and the nearest known one.
+func TestFaultsAreNamed(t *testing.T) {
+	for _, c := range []struct{ text, want string }{
+		{"name = \"a\"\n[hosts]\nlagg = \"1s\"\n", "x.toml:3:1: hosts.lagg: unknown field, did you mean lag?"},
+		{"[hosts]\n  lag = \"soon\"\n", `x.toml:2:9`},
+		{"[hosts]\n  lag = 5\n", "x.toml:2:"},
+		{"name = \n", "x.toml:1:"},
+		{"name = \"a\"\n[[event]]\nat = \"1s\"\n[[event]]\nat = \"2s\"\nkinds = { share = 1 }\n",
+			"x.toml:6:1: event.kinds: unknown field, did you mean kind?"},
+	} {
+		var s sample
+		err := Read("x.toml", []byte(c.text), &s).Err()
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%q: got %v, want %q", c.text, err, c.want)
+		}
+	}
+}
+
+// What is found wrong later is named by the place of the field, or of the nearest table that holds it.
+func TestLaterFaultsAreNamedByPlace(t *testing.T) {
+	text := "name = \"a\"\n\n[[event]]\nat = \"1s\"\n\n[[event]]\n  at = \"2s\"\n  kind = { share = 3.0 }\n"
+	var s sample
+	f := Read("x.toml", []byte(text), &s)
+	if err := f.Err(); err != nil {
+		t.Fatal(err)
+	}
+	f.Fault("event.1.kind.share", "must be at most 1")
+	f.Fault("event.1.host", "is missing")
+	f.Fault("event.0.at", "is too early")
+	want := "x.toml:4:1: event.0.at: is too early\nx.toml:6:3: event.1.host: is missing\n" +
+		"x.toml:8:12: event.1.kind.share: must be at most 1"
+	if got := f.Err().Error(); got != want {
+		t.Errorf("got\n%s\nwant\n%s", got, want)
+	}
+}
