--- a/Makefile
+++ b/Makefile
@@ -1,15 +1,29 @@
-.PHONY: build test lint run
+.PHONY: build lab test lint run demo experiments
 
 build:
-	mkdir -p bin && go build -o bin/ ./cmd/...
+	mkdir -p bin && go build -o bin/ ./cmd/thymebend ./cmd/adapter
+
+# The laboratory's program.
+lab:
+	mkdir -p bin && go build -o bin/ ./cmd/thymelab
 
 test:
-	go test -race -timeout 5m ./...
+	go test -race -timeout 8m ./...
 
 lint:
 	@test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
 	go vet ./...
 
-# Starts the gateway on loopback; start the toy servers first, see README.md.
-run: build
-	LB_CONFIG=examples/config.json bin/thymebend
+# A gateway by hand over an emulated fleet, on 127.0.0.1:8443, until interrupted.
+run: build lab
+	mkdir -p out && rm -f out/gateway.json
+	bin/thymelab fleet experiments/calm.toml --config out/gateway.json & fleet=$$!; trap "kill $$fleet" EXIT; \
+	while ! test -s out/gateway.json; do sleep 0.1; done; LB_CONFIG=out/gateway.json bin/thymebend
+
+# Half a minute of load on one gateway, with a host failing in the middle, and the report of it.
+demo: build lab
+	bin/thymelab run experiments/demo.toml --out out/demo
+
+# Every experiment, one after another; some minutes.
+experiments: build lab
+	@for e in experiments/*.toml; do bin/thymelab run $$e --out out/$$(basename $$e .toml) || echo "$$e: exit $$?"; done
--- /dev/null
+++ b/cmd/thymebend/imports_test.go
@@ -0,0 +1,26 @@
+package main
+
+import (
+	"os/exec"
+	"strings"
+	"testing"
+)
+
+// The gateway stays lean: nothing of the laboratory, no network library, and of others only those named here.
+func TestImports(t *testing.T) {
+	out, err := exec.Command("go", "list", "-deps", ".").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	allowed := []string{"thymebend", "github.com/rs/zerolog", "github.com/mattn/go-colorable", "github.com/mattn/go-isatty", "golang.org/x/sys"}
+	for _, path := range strings.Fields(string(out)) {
+		first, _, _ := strings.Cut(path, "/")
+		known := !strings.Contains(first, ".") && first != "thymebend" // the standard library
+		for _, a := range allowed {
+			known = known || path == a || strings.HasPrefix(path, a+"/")
+		}
+		if !known || strings.HasPrefix(path, "thymebend/internal/lab") || path == "net/http" {
+			t.Errorf("the gateway imports %s", path)
+		}
+	}
+}
--- a/internal/lab/experiment/events.go
+++ b/internal/lab/experiment/events.go
@@ -317,7 +317,7 @@
 func (g *gateway) signal(s syscall.Signal) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.cmd.Process.Signal(s)
+	return g.proc.cmd.Process.Signal(s)
 }
 
 // Play plays the events that concern hosts and discovery, for a fleet without gateways.
--- /dev/null
+++ b/internal/lab/experiment/format_test.go
@@ -0,0 +1,96 @@
+package experiment
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const small = `name = "small"
+[[class]]
+name = "view"
+share = 1
+work = { dist = "fixed", mean = "5ms" }
+[[hosts]]
+kind = "box"
+count = 2
+[[phase]]
+for = "1s"
+rate = 20
+`
+
+// Every fault names file, line and column; several come in one go.
+func TestFaultyExperimentsAreNamed(t *testing.T) {
+	for _, c := range []struct{ text, want string }{
+		{strings.Replace(small, "count = 2", "cuont = 2", 1), "x.toml:8:1: hosts.cuont: unknown field, did you mean count?"},
+		{strings.Replace(small, `for = "1s"`, `for = "1"`, 1), "x.toml:10:7"},
+		{strings.Replace(small, `for = "1s"`, `for = 1`, 1), "x.toml:10:1: phase.0.for: a time such as"},
+		{strings.Replace(small, `"fixed"`, `"normal"`, 1), `x.toml:5:1: class.0.work: dist "normal" is none of`},
+		{strings.Replace(small, "share = 1", "share = -1\nunsafe = true\nbody = 70000", 1),
+			"x.toml:4:1: class.0.share: must be positive\nx.toml:6:1: class.0.body: must be 0 to 65536"},
+		{small + "[[event]]\nat = \"1s\"\ndo = \"host-dwon\"\n", `x.toml:14:1: event.0.do: "host-dwon" is no event, did you mean host-down?`},
+		{small + "[[event]]\nat = \"9s\"\ndo = \"host-down\"\nhost = \"box-2\"\nlag = \"1s\"\n",
+			"x.toml:13:1: event.0.at: must be within the phases, 0s to 1s\nx.toml:15:1: event.0.host: \"box-2\" is no host, known are " +
+				"box-0, box-1\nx.toml:16:1: event.0.lag: does not go with host-down"},
+		{small + "[[event]]\nat = \"1s\"\ndo = \"host-spoil\"\nfault = \"nonsense\"\n", "event.0.fault: \"nonsense\" is none of reset-before"},
+		{small + "[[event]]\nat = \"0s\"\ndo = \"gateway-kill\"\ngateway = 1\n", "x.toml:15:1: event.0.gateway: must be -1 to 0"},
+		{small + "rush = \"bids\"\n", "x.toml:12:1: phase.0.rush: \"bids\" is no class, known are view"},
+		{"name = \"a b\"\n", "x.toml:1:1: name: must be one word"},
+		{"[[class]\n", "x.toml:1:"},
+		{strings.Replace(small, "kind = \"box\"", "kind = \"box\"\ncold = true", 1), "x.toml:8:1: hosts.0.cold: goes with cold_from"},
+	} {
+		_, err := Parse("x.toml", []byte(c.text))
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("got\n%v\nwant\n%s", err, c.want)
+		}
+	}
+}
+
+func TestDefaults(t *testing.T) {
+	f, err := Parse("x.toml", []byte(small))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f.Gateways.Count != 1 || f.Classes[0].Aim.Duration != 800*time.Millisecond || f.Hosts[0].Queue != 12 || f.Clients.Honour != 1 {
+		t.Errorf("%+v", f)
+	}
+}
+
+// Every experiment of the repository can be read, and each event that the format knows is played by one of them
+// or named here.
+func TestExperimentsOfTheRepository(t *testing.T) {
+	files, err := filepath.Glob("../../../experiments/*.toml")
+	if err != nil || len(files) < 8 {
+		t.Fatalf("%d experiments, %v", len(files), err)
+	}
+	for _, path := range files {
+		f, err := Load(path)
+		if err != nil {
+			t.Error(err)
+			continue
+		}
+		if want := strings.TrimSuffix(filepath.Base(path), ".toml"); f.Name != want || f.Title == "" || f.About == "" {
+			t.Errorf("%s: name %q, title %q", path, f.Name, f.Title)
+		}
+	}
+}
+
+func TestShapes(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s.toml")
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("[clients]\nretries = 2.0\n[[phase]]\nfor = \"2s\"\nrate = 5\nto = 10\n")
+	phases, clients, err := LoadShape(path, nil)
+	if err != nil || len(phases) != 1 || phases[0].To != 10 || clients == nil || clients.Retries != 2 {
+		t.Errorf("%+v %+v %v", phases, clients, err)
+	}
+	write("[[phase]]\nfor = \"2s\"\nrate = 5\nrush = \"x\"\n")
+	if _, _, err := LoadShape(path, nil); err == nil || !strings.Contains(err.Error(), path+":4:1: phase.0.rush") {
+		t.Errorf("%v", err)
+	}
+}
--- /dev/null
+++ b/internal/lab/experiment/run_test.go
@@ -0,0 +1,177 @@
+package experiment
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"thymebend/internal/lab/ledger"
+)
+
+var program string // the gateway, built once
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "lab")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "thymebend")
+	if out, err := exec.Command("go", "build", "-o", program, "thymebend/cmd/thymebend").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func play(t *testing.T, f *File, gateway string) *Result {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	dir := t.TempDir()
+	r, err := Run(ctx, f, Options{Gateway: gateway, Dir: dir})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := r.WriteJSON(dir); err != nil {
+		t.Fatal(err)
+	}
+	if again, err := ReadJSON(dir); err != nil || again.Load.Scheduled != r.Load.Scheduled || len(again.Rules) != len(ledger.Rules()) {
+		t.Errorf("result.json: %v", err)
+	}
+	var trace bytes.Buffer
+	if n, err := Trace(dir, &trace); err != nil || n != r.Load.Scheduled || strings.Count(trace.String(), "\n") != n+1 {
+		t.Errorf("trace of %d requests, %d were scheduled: %v", n, r.Load.Scheduled, err)
+	}
+	return r
+}
+
+// A gateway that is killed under load loses what it held, which is no broken rule, and no bid runs twice; one
+// that restarts as planned loses nothing. Hosts come, go and drain meanwhile.
+func TestTroubleBreaksNoRule(t *testing.T) {
+	f, err := Load("../../../experiments/small/trouble.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := play(t, f, program)
+	if !r.Held {
+		t.Errorf("findings: %+v", r.Findings)
+	}
+	if r.Load.OK < r.Load.Scheduled*3/4 || len(r.Events) < 9 {
+		t.Errorf("%d of %d served, %d events", r.Load.OK, r.Load.Scheduled, len(r.Events))
+	}
+	for i, g := range r.Gateways {
+		if g.Starts != 2 || len(g.Samples) < 8 || g.PeakMemoryMB <= 0 || g.PeakDescriptors <= 0 {
+			t.Errorf("gateway %d: %+v", i, g)
+		}
+	}
+	if len(r.Hosts) != 4 || len(r.Hosts[0].Samples) < 8 {
+		t.Errorf("hosts: %+v", r.Hosts)
+	}
+}
+
+// A gateway that ends by itself is found.
+func TestCrashIsFound(t *testing.T) {
+	f, err := Parse("x.toml", []byte(small))
+	if err != nil {
+		t.Fatal(err)
+	}
+	// It ends a second after its start, as a gateway that panics would, with its peers' connections.
+	mortal := filepath.Join(t.TempDir(), "mortal")
+	script := fmt.Sprintf("#!/bin/sh\n%s & pid=$!\nsleep 0.7\nkill -9 $pid\nexit 2\n", program)
+	if err := os.WriteFile(mortal, []byte(script), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	r := play(t, f, mortal)
+	died := 0
+	for _, x := range r.Findings {
+		if x.Rule == ledger.GatewayDied {
+			died++
+		}
+	}
+	if r.Held || died == 0 {
+		t.Errorf("held %v, findings %+v", r.Held, r.Findings)
+	}
+}
+
+func TestGatewayThatDoesNotStartIsAnError(t *testing.T) {
+	f, err := Parse("x.toml", []byte(small))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = Run(context.Background(), f, Options{Gateway: "/bin/false", Dir: t.TempDir()})
+	if err == nil || !strings.Contains(err.Error(), "gateway-0 ended before it was ready") {
+		t.Errorf("%v", err)
+	}
+	if _, err = Run(context.Background(), f, Options{Gateway: "/no/such", Dir: t.TempDir()}); err == nil || !strings.Contains(err.Error(), "make build") {
+		t.Errorf("%v", err)
+	}
+}
+
+// What was told counts for the gateway that was told, until it restarts; what reaches a drained host later
+// than the grace is found by its id.
+func TestLateSendToDrainedHostIsFound(t *testing.T) {
+	f, err := Parse("x.toml", []byte(small))
+	if err != nil {
+		t.Fatal(err)
+	}
+	w, err := NewWorld(f, 1, []string{"gateway-0"}, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	m := w.members()[0]
+	watch := exec.Command(program)
+	conf, err := w.Config("gateway-0", 0, "127.0.0.1:0", w.disc.Addr("gateway-0"))
+	path := filepath.Join(t.TempDir(), "c.json")
+	if err == nil {
+		err = os.WriteFile(path, conf, 0o600)
+	}
+	watch.Env = append(os.Environ(), "LB_CONFIG="+path)
+	if err == nil {
+		err = watch.Start()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = watch.Process.Kill(); _ = watch.Wait() }()
+	w.list(m, "draining", 0)
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		if _, ok := w.disc.Told("gateway-0", m.Name); ok {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the gateway was never told")
+		}
+	}
+	told, _ := w.disc.Told("gateway-0", m.Name)
+	w.arrived(m.Name, "gateway-0", "in-time", told.At+drainGrace)
+	w.arrived(m.Name, "gateway-0", "late", told.At+drainGrace+time.Millisecond)
+	w.arrived(m.Name, "gateway-1", "never-told", told.At+time.Hour)
+	if len(w.findings) != 1 || w.findings[0].ID != "late" || w.findings[0].Rule != ledger.LateToDrained {
+		t.Errorf("%+v", w.findings)
+	}
+}
+
+// Lost tries are excused by a kill that fell into their time, and by nothing else.
+func TestOnlyCrashesExcuse(t *testing.T) {
+	w := &World{gateways: []*gateway{{addr: "a", kills: []time.Duration{10 * time.Second}, stops: []time.Duration{30 * time.Second}}}}
+	for _, c := range []struct {
+		target      string
+		sent, ended time.Duration
+		want        bool
+	}{{"a", 9 * time.Second, 10 * time.Second, true}, {"a", 9 * time.Second, 9500 * time.Millisecond, false},
+		{"a", 11 * time.Second, 12 * time.Second, false}, {"b", 9 * time.Second, 10 * time.Second, false},
+		{"a", 30*time.Second + 100*time.Millisecond, 31 * time.Second, false}, {"a", 30*time.Second + 900*time.Millisecond, 31 * time.Second, true}} {
+		if got := w.excused(ledger.Try{Target: c.target, Sent: c.sent, Ended: c.ended}); got != c.want {
+			t.Errorf("%+v: excused %v", c, got)
+		}
+	}
+}
--- a/internal/lab/experiment/sample.go
+++ b/internal/lab/experiment/sample.go
@@ -61,10 +61,16 @@
 	samples []GatewaySample
 	pid     int
 	used    time.Duration // at the last look
-	at      time.Duration
 	total   time.Duration
+	looks   []usage // the last ones, of this process
 }
 
+type usage struct{ at, used time.Duration }
+
+// cpuOver is how many looks back the use of the processor is counted: the system counts in steps of 10 ms, and
+// a single interval would show little but these.
+const cpuOver = 4
+
 // sample looks at hosts and gateways until ctx is done.
 func (w *World) sample(ctx context.Context, began time.Duration) {
 	for next := began; sleep(ctx, next-w.Clock()); next += sampleEvery {
@@ -93,22 +99,25 @@
 	defer g.mu.Unlock()
 	s := &g.series
 	sample := GatewaySample{At: now}
-	pid := g.cmd.Process.Pid
+	pid := g.proc.cmd.Process.Pid
 	if used, ok := processorTime(pid); ok {
 		if pid != s.pid {
-			s.pid, s.used = pid, 0
-		}
-		if s.at > 0 && clock > s.at {
-			sample.CPU = (used - s.used).Seconds() / (clock - s.at).Seconds()
+			s.pid, s.used, s.looks = pid, 0, nil
 		}
 		s.total += used - s.used
 		s.used = used
+		s.looks = append(s.looks, usage{clock, used})
+		if len(s.looks) > cpuOver+1 {
+			s.looks = s.looks[1:]
+		}
+		if first := s.looks[0]; clock > first.at {
+			sample.CPU = (used - first.used).Seconds() / (clock - first.at).Seconds()
+		}
 		sample.MemoryMB = resident(pid)
 		if names, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid)); err == nil {
 			sample.Descriptors = len(names)
 		}
 	}
-	s.at = clock
 	s.samples = append(s.samples, sample)
 }
 
--- a/internal/lab/experiment/tries.go
+++ b/internal/lab/experiment/tries.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/csv"
 	"fmt"
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"time"
 
@@ -91,5 +93,7 @@
 		arrivals = append(arrivals, load.Arrival{At: time.Duration(due) * time.Microsecond, Class: class,
 			Patience: time.Duration(patience) * time.Millisecond, Body: body})
 	}
+	// Tries stand in the order in which they were sent, which may differ by microseconds.
+	slices.SortStableFunc(arrivals, func(a, b load.Arrival) int { return cmp.Compare(a.At, b.At) })
 	return len(arrivals), load.WriteTrace(to, classes, load.Record(arrivals))
 }
--- a/internal/lab/experiment/world.go
+++ b/internal/lab/experiment/world.go
@@ -217,15 +217,31 @@
 	log    string
 
 	mu      sync.Mutex
-	cmd     *exec.Cmd
-	ended   chan error // closed over by the present process
-	planned bool       // its end is no crash
+	proc    *process
+	planned bool // its end is no crash
 	kills   []time.Duration
 	stops   []time.Duration // SIGTERMs
 	starts  int
 	series  gatewaySeries
 }
 
+// process is one run of a gateway's program.
+type process struct {
+	cmd   *exec.Cmd
+	ended chan bool // closed once it has ended
+	err   error     // how, to be read after that
+}
+
+// kill ends the process, and what it may have started, at once.
+func (p *process) kill() {
+	select {
+	case <-p.ended: // its number may be another's by now
+	default:
+		_ = syscall.Kill(-p.cmd.Process.Pid, syscall.SIGKILL)
+		<-p.ended
+	}
+}
+
 // startGateways starts the processes and waits until all are ready.
 func (w *World) startGateways(ctx context.Context, program, dir string) error {
 	w.dir = dir
@@ -277,12 +293,10 @@
 
 func (w *World) ready(ctx context.Context, g *gateway) error {
 	for end := time.Now().Add(readyWait); !load.Healthy(ctx, g.addr); {
-		g.mu.Lock()
-		ended := g.ended
-		g.mu.Unlock()
+		p := g.present()
 		select {
-		case err := <-ended:
-			return fmt.Errorf("%s ended before it was ready (%v), see %s", g.name, err, g.log)
+		case <-p.ended:
+			return fmt.Errorf("%s ended before it was ready (%v), see %s", g.name, p.err, g.log)
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-time.After(20 * time.Millisecond):
@@ -318,37 +332,37 @@
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("%s: %w", g.name, err)
 	}
-	ended := make(chan error, 2)
+	p := &process{cmd: cmd, ended: make(chan bool)}
 	g.mu.Lock()
-	g.cmd, g.ended, g.planned = cmd, ended, false
+	g.proc, g.planned = p, false
 	g.starts++
 	g.mu.Unlock()
 	go func() {
-		err := cmd.Wait()
+		p.err = cmd.Wait()
 		g.mu.Lock()
 		planned := g.planned
 		g.mu.Unlock()
 		if !planned {
 			w.mu.Lock()
 			w.findings = append(w.findings, ledger.Finding{Rule: ledger.GatewayDied, ID: g.name, At: w.Clock(),
-				Detail: fmt.Sprintf("ended by itself: %v, see %s", err, g.log)})
+				Detail: fmt.Sprintf("ended by itself: %v, see %s", p.err, g.log)})
 			w.mu.Unlock()
 		}
-		ended <- err
+		close(p.ended)
 	}()
 	return nil
 }
 
+func (g *gateway) present() *process { g.mu.Lock(); defer g.mu.Unlock(); return g.proc }
+
 // kill ends a gateway as kill -9 does.
 func (w *World) kill(g *gateway) {
 	g.mu.Lock()
 	g.planned = true
 	g.kills = append(g.kills, w.Clock())
-	cmd, ended := g.cmd, g.ended
+	p := g.proc
 	g.mu.Unlock()
-	_ = cmd.Process.Kill()
-	<-ended
-	ended <- nil
+	p.kill()
 	w.disc.Forget(g.name)
 }
 
@@ -357,9 +371,9 @@
 	g.mu.Lock()
 	g.planned = true
 	g.stops = append(g.stops, w.Clock())
-	cmd, ended := g.cmd, g.ended
+	p := g.proc
 	g.mu.Unlock()
-	_ = cmd.Process.Signal(syscall.SIGTERM)
+	_ = p.cmd.Process.Signal(syscall.SIGTERM)
 	if front != nil {
 		time.AfterFunc(leaveFront, func() { front.Leave(g.addr) })
 	}
@@ -368,18 +382,16 @@
 		longest = max(longest, c.Patience.Duration)
 	}
 	select {
-	case err := <-ended:
-		if err != nil {
+	case <-p.ended:
+		if p.err != nil {
 			w.mu.Lock()
 			w.findings = append(w.findings, ledger.Finding{Rule: ledger.GatewayDied, ID: g.name, At: w.Clock(),
-				Detail: fmt.Sprintf("after SIGTERM: %v, see %s", err, g.log)})
+				Detail: fmt.Sprintf("after SIGTERM: %v, see %s", p.err, g.log)})
 			w.mu.Unlock()
 		}
 	case <-time.After(longest + killAfter):
-		_ = cmd.Process.Kill()
-		<-ended
+		p.kill()
 	}
-	ended <- nil
 	w.disc.Forget(g.name)
 }
 
@@ -413,13 +425,11 @@
 func (w *World) Close() []*ledger.Host {
 	for _, g := range w.gateways {
 		g.mu.Lock()
-		cmd, ended := g.cmd, g.ended
+		p := g.proc
 		g.planned = true
 		g.mu.Unlock()
-		if cmd != nil {
-			_ = cmd.Process.Kill()
-			<-ended
-			ended <- nil
+		if p != nil {
+			p.kill()
 		}
 	}
 	for _, m := range w.members() {
--- a/internal/lab/fleet/host.go
+++ b/internal/lab/fleet/host.go
@@ -141,6 +141,7 @@
 	replies []Reply
 	tokens  uint64
 	done    float64 // work done since birth
+	warm    float64 // share of the capacity reached, as of the last step of warming
 	conns   int
 
 	pauseAt, pauseEnd  time.Duration
@@ -189,7 +190,7 @@
 	if spec.Report.Most > 0 {
 		h.nextReport = born
 	}
-	if h.cold {
+	if h.warm = h.warmth(); h.cold {
 		h.warmAt = born + warmStep
 	}
 	return h, nil
@@ -240,7 +241,7 @@
 // mean, not the draw: nobody who sends can know the draw.
 func (h *Host) budget(work float64) {
 	c := h.spec.Cold
-	if !h.cold || h.down || c.FallMultiple <= 0 || c.FallFor <= 0 || h.warmth() >= 1 {
+	if !h.cold || h.down || c.FallMultiple <= 0 || c.FallFor <= 0 || h.warm >= 1 {
 		return
 	}
 	for len(h.window) > 0 && h.window[0].at <= h.at-c.FallFor {
@@ -251,7 +252,7 @@
 	h.windowWork += work
 	used := h.windowWork / (h.Capacity() * c.FallFor.Seconds())
 	h.peak = max(h.peak, used/c.FallMultiple)
-	if used > c.FallMultiple {
+	if used > c.FallMultiple*(1+1e-9) { // sums of many small numbers are a little off
 		h.fall()
 	}
 }
@@ -405,7 +406,8 @@
 		}
 	}
 	if h.at >= h.warmAt {
-		if h.warmAt = h.at + warmStep; h.warmth() >= 1 {
+		h.warm = h.warmth()
+		if h.warmAt = h.at + warmStep; h.warm >= 1 {
 			h.warmAt = never
 		}
 	}
@@ -447,7 +449,7 @@
 
 // power is what so many busy cores now do.
 func (h *Host) power(cores int) float64 {
-	p := float64(cores) * h.spec.Speed * h.warmth() * (1 - h.neighbour)
+	p := float64(cores) * h.spec.Speed * h.warm * (1 - h.neighbour)
 	if excess := h.perCore() - h.spec.ThrashAt; h.spec.Thrash > 0 && excess > 0 {
 		p /= 1 + h.spec.Thrash*excess
 	}
@@ -457,7 +459,8 @@
 	return p
 }
 
-// warmth is the share of its capacity that the host has reached.
+// warmth is the share of its capacity that the host has reached. It is looked at in steps of its own, so that
+// the model does not depend on how often it is asked.
 func (h *Host) warmth() float64 {
 	if !h.cold {
 		return 1
--- /dev/null
+++ b/internal/lab/ledger/ledger_test.go
@@ -0,0 +1,75 @@
+package ledger
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// Each planted fault is found once, under its rule and by its id; what is in order is not.
+func TestCompareFindsEachFaultByItsID(t *testing.T) {
+	good := Hash([]byte("made"))
+	a, b := NewHost("a"), NewHost("b")
+	made := func(h *Host, id string, begun int, bodies ...uint64) {
+		*h.Of(id) = Entry{Arrivals: begun, Begun: begun, Ended: begun, Returned: bodies}
+	}
+	served := Try{Whole: true, Answers: 1, Status: 200, Hash: good}
+	var tries []Try
+	add := func(id string, t Try) { t.ID = id; tries = append(tries, t) }
+
+	add("fine", served)
+	made(a, "fine", 1, good)
+	repeated := served
+	add("view-twice", repeated) // a safe request may run twice
+	made(a, "view-twice", 1, 99)
+	made(b, "view-twice", 1, good)
+	bid := served
+	bid.Unsafe = true
+	add("bid-twice", bid)
+	made(a, "bid-twice", 1, good)
+	made(b, "bid-twice", 1, 98)
+	add("foreign", Try{Whole: true, Answers: 1, Status: 200, Hash: 5})
+	made(a, "foreign", 1, good)
+	add("dropped", Try{Whole: true, Cause: "silence"})
+	add("crashed", Try{Whole: true, Target: "killed"})
+	add("never-sent", Try{})
+	double := served
+	double.Answers = 2
+	add("double", double)
+	made(b, "double", 1, good)
+	add("refused-ran", Try{Whole: true, Unsafe: true, Answers: 1, Status: 503})
+	made(b, "refused-ran", 1)
+	add("refused-view", Try{Whole: true, Answers: 1, Status: 503})
+	made(b, "refused-view", 1)
+	add("failed-ran", Try{Whole: true, Unsafe: true, Answers: 1, Status: 502})
+	made(b, "failed-ran", 1)
+	made(b, "nobody-sent", 1)
+
+	found, crashed := Compare(tries, []*Host{a, b}, func(t Try) bool { return t.Target == "killed" })
+	want := map[string]string{"bid-twice": RanTwice, "foreign": ForeignBody, "dropped": Unanswered, "double": AnsweredTwice,
+		"refused-ran": RefusedRan, "nobody-sent": InventedID}
+	for _, f := range found {
+		if want[f.ID] != f.Rule {
+			t.Errorf("found %s: %s (%s)", f.ID, f.Rule, f.Detail)
+		}
+		delete(want, f.ID)
+	}
+	if len(want) > 0 || crashed != 1 {
+		t.Errorf("not found: %v; lost by crash: %d, want 1", want, crashed)
+	}
+}
+
+func TestIDsAreNotReused(t *testing.T) {
+	c := NewClients()
+	if err := c.Add(Try{ID: "x"}); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Add(Try{ID: "x"}); err == nil || !strings.Contains(err.Error(), "x") {
+		t.Errorf("a second x: %v", err)
+	}
+	c.Update("x", func(t *Try) { t.Ended = time.Second })
+	c.Update("y", func(*Try) { t.Error("an unknown id has a try") })
+	if all := c.Tries(); len(all) != 1 || all[0].Ended != time.Second {
+		t.Errorf("%+v", all)
+	}
+}
--- a/internal/lab/load/front.go
+++ b/internal/lab/load/front.go
@@ -122,6 +122,7 @@
 	if _, err := fmt.Fprintf(c, "GET /healthz HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", addr); err != nil {
 		return false
 	}
-	raw, _ := io.ReadAll(io.LimitReader(c, 64))
-	return len(raw) > 12 && string(raw[9:12]) == fmt.Sprint(http.StatusOK)
+	line := make([]byte, len("HTTP/1.1 200"))
+	_, err = io.ReadFull(c, line)
+	return err == nil && string(line[9:]) == fmt.Sprint(http.StatusOK)
 }
--- a/internal/lab/report/page.go
+++ b/internal/lab/report/page.go
@@ -14,8 +14,9 @@
 .bad{border-color:#d55e00;background:#fdf3ec}
 table{border-collapse:collapse;margin:.4rem 0 1rem}td,th{padding:.15rem .8rem .15rem 0;text-align:right;border-bottom:1px solid #e5e5e5;vertical-align:top}
 td:first-child,th:first-child,.text td{text-align:left}tr.broken td{color:#b34700;font-weight:600}
-svg{max-width:100%;height:auto;margin:.2rem 0}svg text{font-family:"Liberation Sans",Arial,sans-serif}
-.small svg{max-width:49%}details{margin:.5rem 0}
+svg{max-width:100%;height:auto;margin:.2rem 0}svg text{font-family:"Liberation Sans",Arial,sans-serif!important}
+figure{margin:.6rem 0}figcaption{font-size:.85rem}.key{margin-left:.8rem;white-space:nowrap}
+.small{display:flex;flex-wrap:wrap;gap:0 1%}.small figure{width:49%}details{margin:.5rem 0}
 .cols{display:flex;flex-wrap:wrap;gap:0 3rem}
 </style></head><body>
 <h1>{{.Title}}</h1>
--- a/internal/lab/report/plots.go
+++ b/internal/lab/report/plots.go
@@ -24,7 +24,6 @@
 	name   string
 	xs, ys []float64
 	dashed bool
-	color  color.Color // nil takes the next of the palette
 	steps  bool
 }
 
@@ -54,12 +53,7 @@
 // svg draws a chart.
 func (c chart) svg() (template.HTML, error) {
 	p := plot.New()
-	p.Title.Text = c.title
-	p.Title.TextStyle.Font.Size = 12
 	p.X.Label.Text, p.Y.Label.Text = c.x, c.y
-	p.Legend.Top, p.Legend.Left = true, false
-	p.Legend.Padding = 2
-	p.Legend.YOffs = -2
 	colors := palette()
 	grid := plotter.NewGrid()
 	grid.Vertical.Color, grid.Horizontal.Color = color.RGBA{225, 225, 225, 255}, color.RGBA{225, 225, 225, 255}
@@ -77,10 +71,9 @@
 	if high <= low {
 		high = low + 1
 	}
-	// Room above for the legend and the numbers of the events.
-	top := high + (high-low)*0.06
-	if len(c.lines) > 1 {
-		top = high + (high-low)*(0.08+0.075*float64(len(c.lines)))
+	top := high
+	if len(c.marks) > 0 || c.to == 0 {
+		top += (high - low) * 0.07 // room for the numbers of the events
 	}
 	for _, m := range c.marks {
 		v, err := plotter.NewLine(plotter.XYs{{X: m.At, Y: low}, {X: m.At, Y: top}})
@@ -91,11 +84,7 @@
 		p.Add(v)
 	}
 	for i, l := range c.lines {
-		col := l.color
-		if col == nil {
-			col = colors[i%len(colors)]
-		}
-		first := true
+		col := colors[i%len(colors)]
 		for _, run := range pieces(l) {
 			drawn, err := plotter.NewLine(run)
 			if err != nil {
@@ -109,10 +98,6 @@
 				drawn.Dashes = []vg.Length{5, 3}
 			}
 			p.Add(drawn)
-			if first && l.name != "" && len(c.lines) > 1 {
-				p.Legend.Add(l.name, drawn)
-			}
-			first = false
 		}
 	}
 	if labels := c.numbers(top); labels != nil {
@@ -150,7 +135,21 @@
 	if at := strings.Index(text, "<svg"); at > 0 {
 		text = text[at:] // without the prologue of a file of its own
 	}
-	return template.HTML(text), nil //nolint:gosec // drawn above, with all text escaped by the drawing library
+	// The legend is the page's, not the drawing's: it can then never lie on the lines.
+	var head strings.Builder
+	fmt.Fprintf(&head, "<b>%s</b>", template.HTMLEscapeString(c.title))
+	if len(c.lines) > 1 {
+		for i, l := range c.lines {
+			r, g, b, _ := colors[i%len(colors)].RGBA()
+			sign := "━"
+			if l.dashed {
+				sign = "╌"
+			}
+			fmt.Fprintf(&head, ` <span class="key"><span style="color:rgb(%d,%d,%d)">%s</span> %s</span>`, r>>8, g>>8, b>>8, sign,
+				template.HTMLEscapeString(l.name))
+		}
+	}
+	return template.HTML("<figure><figcaption>" + head.String() + "</figcaption>" + text + "</figure>"), nil
 }
 
 // pieces splits a line where it has no value.
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -125,7 +125,11 @@
 func length(r *experiment.Result) float64 {
 	longest := 0
 	for _, c := range r.Load.Classes {
-		longest = max(longest, len(c.Seconds))
+		for n, s := range c.Seconds {
+			if s.Scheduled > 0 {
+				longest = max(longest, n+1)
+			}
+		}
 	}
 	return float64(longest)
 }
@@ -147,7 +151,7 @@
 		text = "Rules broken: " + strings.Join(broken, ", ") + "."
 	}
 	if r.LostByCrash > 0 {
-		text += fmt.Sprintf(" %d requests were lost with gateways that were killed.", r.LostByCrash)
+		text += fmt.Sprintf(" Requests lost with gateways that were killed: %d.", r.LostByCrash)
 	}
 	if r.Load.FellBehind {
 		text += " The generator fell behind (" + r.Load.Behind + "): its latencies are not the gateways'."
@@ -191,7 +195,7 @@
 		latencies("latency p99.9 (ms)", func(l load.Latency) float64 { return l.P999 }),
 		latencies("latency max (ms)", func(l load.Latency) float64 { return l.Max }),
 		{"generator's own lateness p99 (ms)", func(r *experiment.Result) float64 { return r.Load.SelfLate.P99 }, nil, "%.2f"},
-		{"executions at hosts for a request", func(r *experiment.Result) float64 { return r.Work.PerRequest }, nil, "%.3f"},
+		{"arrivals at hosts for a request", func(r *experiment.Result) float64 { return r.Work.PerRequest }, nil, "%.3f"},
 	}
 }
 
@@ -257,7 +261,11 @@
 // seconds is a line by seconds of the run, each value at its second's middle.
 func seconds(name string, c load.ClassResult, of func(load.SecondResult) float64) line {
 	l := line{name: name}
-	for _, s := range c.Seconds {
+	last := len(c.Seconds) // without the seconds after the last request was due
+	for last > 0 && c.Seconds[last-1].Scheduled == 0 {
+		last--
+	}
+	for _, s := range c.Seconds[:last] {
 		l.xs = append(l.xs, float64(s.Second)+0.5)
 		l.ys = append(l.ys, of(s))
 	}
