--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -64,6 +64,9 @@
 	Load    loadCmd    `cmd:"" help:"Send requests on schedule to anything that speaks the clients' protocol."`
 	Fleet   fleetCmd   `cmd:"" help:"Start the hosts and discovery of an experiment alone, until SIGTERM."`
 	Compare compareCmd `cmd:"" help:"Write one page that compares two runs."`
+	Seeds   seedsCmd   `cmd:"" help:"Play seeded fault runs of the whole gateway on a virtual clock."`
+	Replay  replayCmd  `cmd:"" help:"Play one seed again to the letter, trace it, and reduce it to a small plan."`
+	Plan    planCmd    `cmd:"" help:"Play a kept plan."`
 	Trace   traceCmd   `cmd:"" help:"Turn a run into a trace that 'load --trace' replays."`
 }
 
--- /dev/null
+++ b/internal/lab/cli/seeds.go
@@ -0,0 +1,185 @@
+package cli
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"os"
+	"runtime"
+	"slices"
+	"sync"
+	"time"
+
+	"thymebend/internal/lab/virtual"
+)
+
+type seedsCmd struct {
+	From    uint64 `default:"1" placeholder:"N" help:"The first seed."`
+	Count   uint64 `default:"100" placeholder:"N" help:"How many."`
+	Profile string `placeholder:"NAME" help:"Of faults; without it each seed takes one."`
+	Jobs    int    `placeholder:"N" help:"Runs at once; by default one for each core."`
+	JSON    string `name:"json" placeholder:"FILE" help:"Write the figures and failures here."`
+}
+
+// Help implements kong's.
+func (seedsCmd) Help() string {
+	return "Example:\n  thymelab seeds --from 1 --count 1000 --profile drain-retry\n\nProfiles: " + fmt.Sprint(virtual.Profiles()) +
+		"\nExit codes: 0 no failure, 1 a failure, 2 unusable input."
+}
+
+type failure struct {
+	Seed    uint64 `json:"seed"`
+	Profile string `json:"profile"`
+	virtual.Finding
+	More int `json:"more"` // findings of the same run beside this one
+}
+
+// Run implements kong's.
+func (c seedsCmd) Run(e *env) error {
+	if c.Jobs <= 0 {
+		c.Jobs = runtime.GOMAXPROCS(0)
+	}
+	if _, err := virtual.Draw(1, c.Profile); err != nil {
+		return input(err)
+	}
+	began := time.Now()
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	failures := []failure{}
+	tries, lasted, steps := 0, time.Duration(0), uint64(0)
+	next := make(chan uint64)
+	for range c.Jobs {
+		all.Go(func() {
+			for seed := range next {
+				p, _ := virtual.Draw(seed, c.Profile) // checked above
+				o := virtual.Play(p, nil)
+				mu.Lock()
+				tries, lasted, steps = tries+o.Tries, lasted+o.Lasted, steps+o.Steps
+				if len(o.Findings) > 0 {
+					f := failure{seed, p.Profile, o.Findings[0], len(o.Findings) - 1}
+					failures = append(failures, f)
+					fmt.Fprintf(e.out, "seed %d (%s): %s: %s: %s (and %d more)\n", f.Seed, f.Profile, f.Rule, f.ID, f.Detail, f.More)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for seed := c.From; seed < c.From+c.Count && e.ctx.Err() == nil; seed++ {
+		next <- seed
+	}
+	close(next)
+	all.Wait()
+	took := time.Since(began).Seconds()
+	slices.SortFunc(failures, func(a, b failure) int { return int(a.Seed) - int(b.Seed) })
+	fmt.Fprintf(e.out, "%d seeds, %d failures, %d requests in %.1f s: %.0f simulated seconds and %.0f requests a second\n", c.Count,
+		len(failures), tries, took, lasted.Seconds()/took, float64(tries)/took)
+	if c.JSON != "" {
+		raw, err := json.MarshalIndent(map[string]any{"from": c.From, "count": c.Count, "profile": c.Profile, "failures": failures,
+			"requests": tries, "simulated_s": lasted.Seconds(), "steps": steps, "took_s": took}, "", " ")
+		if err != nil {
+			return input(err)
+		}
+		if err := os.WriteFile(c.JSON, append(raw, '\n'), 0o644); err != nil {
+			return input(err)
+		}
+	}
+	if len(failures) > 0 {
+		return coded{exitBroken, ""}
+	}
+	return nil
+}
+
+type replayCmd struct {
+	Seed    uint64 `arg:"" help:"The seed."`
+	Profile string `placeholder:"NAME" help:"As it was given to seeds."`
+	Trace   string `placeholder:"FILE" help:"Write a line for each thing that happens."`
+	Shrink  string `placeholder:"FILE" help:"Reduce a failing run to few faults and requests and keep its plan here."`
+	Most    int    `default:"2000" placeholder:"N" help:"Runs that shrinking may take."`
+}
+
+// Help implements kong's.
+func (replayCmd) Help() string {
+	return "Example:\n  thymelab replay 4711 --trace /tmp/4711.txt --shrink /tmp/4711.json\n  thymelab plan /tmp/4711.json"
+}
+
+// Run implements kong's.
+func (c replayCmd) Run(e *env) error {
+	p, err := virtual.Draw(c.Seed, c.Profile)
+	if err != nil {
+		return input(err)
+	}
+	o, err := playTraced(p, c.Trace)
+	if err != nil {
+		return input(err)
+	}
+	e.say(p, o)
+	if len(o.Findings) == 0 {
+		return nil
+	}
+	if c.Shrink != "" {
+		small, runs := virtual.Shrink(p, o.Findings[0].Rule, c.Most)
+		if err := small.Write(c.Shrink); err != nil {
+			return input(err)
+		}
+		fmt.Fprintf(e.out, "%s: %d faults and %d requests of %d and %d, after %d runs\n", c.Shrink, len(small.Faults), len(small.Requests),
+			len(p.Faults), len(p.Requests), runs)
+	}
+	return coded{exitBroken, ""}
+}
+
+type planCmd struct {
+	File  string `arg:"" type:"existingfile" help:"A kept plan."`
+	Trace string `placeholder:"FILE" help:"Write a line for each thing that happens."`
+}
+
+// Help implements kong's.
+func (planCmd) Help() string {
+	return "Example:\n  thymelab plan internal/lab/virtual/testdata/NAME.json"
+}
+
+// Run implements kong's.
+func (c planCmd) Run(e *env) error {
+	p, err := virtual.ReadPlan(c.File)
+	if err != nil {
+		return input(err)
+	}
+	o, err := playTraced(p, c.Trace)
+	if err != nil {
+		return input(err)
+	}
+	if e.say(p, o); len(o.Findings) > 0 {
+		return coded{exitBroken, ""}
+	}
+	return nil
+}
+
+func playTraced(p virtual.Plan, path string) (virtual.Outcome, error) {
+	if path == "" {
+		return virtual.Play(p, nil), nil
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return virtual.Outcome{}, err
+	}
+	defer file.Close()
+	out := bufio.NewWriter(file)
+	o := virtual.Play(p, out)
+	if err := out.Flush(); err != nil {
+		return o, err
+	}
+	return o, file.Close()
+}
+
+// say prints what a run came to.
+func (e *env) say(p virtual.Plan, o virtual.Outcome) {
+	fmt.Fprintf(e.out, "seed %d, %s, %d gateways, %d hosts, %d faults, %d tries: %d served, %d refused, %d failed, %.1f s\n", p.Seed, p.Profile,
+		p.Gateways, p.Hosts, len(p.Faults), o.Tries, o.Served, o.Refused, o.Failed, o.Lasted.Seconds())
+	for i, f := range o.Findings {
+		if i == 20 {
+			fmt.Fprintf(e.out, "and %d more\n", len(o.Findings)-i)
+			break
+		}
+		fmt.Fprintf(e.out, "%s: %s: %s\n", f.Rule, f.ID, f.Detail)
+	}
+	fmt.Fprintf(e.out, "hash %016x\n", o.Hash)
+}
--- a/internal/lab/experiment/format.go
+++ b/internal/lab/experiment/format.go
@@ -421,8 +421,8 @@
 
 func hostName(kind string, n int) string { return fmt.Sprintf("%s-%d", kind, n) }
 
-// spec is the model of one host.
-func (f *File) spec(h Hosts, n int) fleet.Spec {
+// Spec is the model of one host.
+func (f *File) Spec(h Hosts, n int) fleet.Spec {
 	work := make(map[string]fleet.Work)
 	for _, c := range f.Classes {
 		work[c.Name] = c.Work.model()
--- a/internal/lab/experiment/world.go
+++ b/internal/lab/experiment/world.go
@@ -87,7 +87,7 @@
 
 // start starts a host and lists it. addrs gives the addresses of its doors; nil takes free ones.
 func (w *World) start(h Hosts, n int, vias []string, addrs map[string]string, cold bool) (*member, error) {
-	spec := w.File.spec(h, n)
+	spec := w.File.Spec(h, n)
 	w.mu.Lock()
 	w.seed++
 	seed := w.seed
@@ -151,8 +151,7 @@
 }
 
 // Settings are what a gateway of this experiment is told, in the platform's form.
-func (w *World) Settings(rank int) map[string]any {
-	f := w.File
+func (f *File) Settings(rank int) map[string]any {
 	var classes []map[string]any
 	for _, c := range f.Classes {
 		repeat := "repeatable"
@@ -204,7 +203,7 @@
 		"name": name, "listen": listen, "discovery": discovery, "seed": fmt.Sprintf("%016x", w.seed*2654435761+uint64(rank)),
 		"limits":   map[string]any{"cores": g.Cores, "memory_mb": g.MemoryMB, "sockets": g.Sockets},
 		"known":    json.RawMessage(w.disc.Known(name)),
-		"settings": w.Settings(rank),
+		"settings": w.File.Settings(rank),
 	}, "", " ")
 }
 
--- /dev/null
+++ b/internal/lab/roster/roster.go
@@ -0,0 +1,136 @@
+// Package roster is discovery's state without its sockets: the list in its versions, and what each gateway has
+// been told. It does no I/O and has no clock.
+package roster
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+)
+
+// The states of a host in discovery's list.
+const (
+	Up       = "up"
+	Draining = "draining"
+	Removed  = "removed"
+)
+
+// Entry is a host as discovery lists it. Dial gives the address for a gateway, which may differ from one to
+// the next.
+type Entry struct {
+	Host, Site, Kind string
+	State            string
+	Born             int64 // Unix time in milliseconds; 0 means long ago
+	Dial             map[string]string
+}
+
+// Told is when a gateway was told that a host drains or is gone.
+type Told struct {
+	At    time.Duration
+	State string
+}
+
+// Roster is the list and its history.
+type Roster struct {
+	seq     int
+	entries map[string]Entry
+	order   []string
+	changed map[string]int             // the version in which a host last changed
+	told    map[string]map[string]Told // by gateway, by host
+}
+
+// New returns a roster that lists nothing.
+func New() *Roster {
+	return &Roster{entries: make(map[string]Entry), changed: make(map[string]int), told: make(map[string]map[string]Told)}
+}
+
+// Seq is the present version.
+func (r *Roster) Seq() int { return r.seq }
+
+// Put enters or changes hosts, all in one version.
+func (r *Roster) Put(entries ...Entry) {
+	r.seq++
+	for _, e := range entries {
+		if _, known := r.entries[e.Host]; !known {
+			r.order = append(r.order, e.Host)
+		}
+		r.entries[e.Host], r.changed[e.Host] = e, r.seq
+	}
+}
+
+// Flap makes every host changed in a version far ahead, as a discovery does that restarts without its memory.
+func (r *Roster) Flap() {
+	r.seq += 1000
+	for _, name := range r.order {
+		r.changed[name] = r.seq
+	}
+}
+
+// Find returns a host's entry.
+func (r *Roster) Find(host string) (Entry, bool) { e, ok := r.entries[host]; return e, ok }
+
+// wireEntry is a host on the wire.
+type wireEntry struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Class  string  `json:"class"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+	Born   int64   `json:"born_ms"`
+}
+
+// Line is the list for a gateway in discovery's form: what changed after a version, or all of it for version 0
+// and for versions that never were.
+func (r *Roster) Line(gateway string, after int) []byte {
+	whole := after <= 0 || after > r.seq
+	doc := struct {
+		Seq   int         `json:"seq"`
+		Whole bool        `json:"whole"`
+		Hosts []wireEntry `json:"hosts"`
+	}{r.seq, whole, []wireEntry{}}
+	for _, name := range r.order {
+		e := r.entries[name]
+		if whole && e.State == Removed || !whole && r.changed[name] <= after {
+			continue
+		}
+		doc.Hosts = append(doc.Hosts, wireEntry{Host: e.Host, Dial: e.Dial[gateway], Site: e.Site, Class: e.Kind,
+			Health: e.State, Share: 1, Born: e.Born})
+	}
+	line, err := json.Marshal(doc)
+	if err != nil {
+		panic(err) // plain values cannot fail
+	}
+	return line
+}
+
+// Note keeps that a gateway has been told the list as it stands. The first notice of a host's leaving counts.
+func (r *Roster) Note(gateway string, now time.Duration) {
+	told := r.told[gateway]
+	if told == nil {
+		told = make(map[string]Told)
+		r.told[gateway] = told
+	}
+	for name, e := range r.entries {
+		if _, known := told[name]; e.State == Up {
+			delete(told, name)
+		} else if !known {
+			told[name] = Told{now, e.State}
+		}
+	}
+}
+
+// Told returns when a gateway was told that a host drains or is gone; ok is false if it was not.
+func (r *Roster) Told(gateway, host string) (t Told, ok bool) {
+	t, ok = r.told[gateway][host]
+	return t, ok
+}
+
+// Forget drops what a gateway was told, as one that has restarted knows it no more.
+func (r *Roster) Forget(gateway string) { delete(r.told, gateway) }
+
+// Names lists the hosts that are not removed, in the order in which they came.
+func (r *Roster) Names() []string {
+	return slices.DeleteFunc(slices.Clone(r.order), func(n string) bool { return r.entries[n].State == Removed })
+}
--- a/internal/lab/standin/discovery.go
+++ b/internal/lab/standin/discovery.go
@@ -2,38 +2,29 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
-)
 
-// The states of a host in discovery's list.
-const (
-	StateUp       = "up"
-	StateDraining = "draining"
-	StateRemoved  = "removed"
+	"thymebend/internal/lab/roster"
 )
 
-// Entry is a host as discovery lists it. Dial gives the address for a gateway, which may differ from one to
-// the next.
-type Entry struct {
-	Host, Site, Kind string
-	State            string
-	Born             int64 // Unix time in milliseconds; 0 means long ago
-	Dial             map[string]string
-}
+// Entry is a host as discovery lists it.
+type Entry = roster.Entry
 
 // Told is when a gateway was told that a host drains or is gone.
-type Told struct {
-	At    time.Duration
-	State string
-}
+type Told = roster.Told
+
+// The states of a host in discovery's list.
+const (
+	StateUp       = roster.Up
+	StateDraining = roster.Draining
+	StateRemoved  = roster.Removed
+)
 
 // beatEvery is how often an empty line comes while nothing changes.
 const beatEvery = 2 * time.Second
@@ -48,25 +39,16 @@
 
 	mu      sync.Mutex
 	changed *sync.Cond
-	seq     int
-	entries map[string]Entry
-	order   []string
-	log     []change // what changed, oldest first
+	list    *roster.Roster
 	down    bool
 	mute    bool // beats and changes stay inside
 	lag     time.Duration
 	doors   map[string]*entrance
-	told    map[string]map[string]Told // by gateway, by host
 	calls   int
 	closed  bool
 	served  sync.WaitGroup
 }
 
-type change struct {
-	seq  int
-	host string
-}
-
 type entrance struct {
 	addr  string
 	ln    net.Listener
@@ -75,8 +57,7 @@
 
 // NewDiscovery returns a discovery that lists nothing. A change shows after the lag.
 func NewDiscovery(clock Clock, lag time.Duration) *Discovery {
-	d := &Discovery{clock: clock, lag: lag, entries: make(map[string]Entry), doors: make(map[string]*entrance),
-		told: make(map[string]map[string]Told)}
+	d := &Discovery{clock: clock, lag: lag, list: roster.New(), doors: make(map[string]*entrance)}
 	d.changed = sync.NewCond(&d.mu)
 	return d
 }
@@ -158,7 +139,7 @@
 			return
 		default:
 			d.mu.Lock()
-			line := d.line(gateway, 0)
+			line := d.list.Line(gateway, 0)
 			d.mu.Unlock()
 			if !write(c, 200, "Content-Type: application/json\r\n", line) {
 				return
@@ -190,8 +171,8 @@
 				reset(c)
 				return
 			}
-			if !d.mute && (first || d.seq > after) {
-				line = d.line(gateway, after)
+			if !d.mute && (first || d.list.Seq() > after) {
+				line = d.list.Line(gateway, after)
 				break
 			}
 			if !d.mute && d.clock()-last >= beatEvery {
@@ -199,13 +180,13 @@
 			}
 			d.changed.Wait()
 		}
-		after, first, last = d.seq, false, d.clock()
+		after, first, last = d.list.Seq(), false, d.clock()
 		beat.Reset(beatEvery + time.Millisecond)
 		// Written under the lock: what is told is told in order, and the time of it is known.
 		_ = c.SetWriteDeadline(time.Now().Add(time.Second))
 		_, err := fmt.Fprintf(c, "%x\r\n%s\n\r\n", len(line)+1, line)
 		if err == nil && line != nil {
-			d.note(gateway)
+			d.list.Note(gateway, d.clock())
 		}
 		d.mu.Unlock()
 		if err != nil {
@@ -214,62 +195,11 @@
 	}
 }
 
-// note keeps when a gateway was first told that a host drains or is gone.
-func (d *Discovery) note(gateway string) {
-	told := d.told[gateway]
-	if told == nil {
-		told = make(map[string]Told)
-		d.told[gateway] = told
-	}
-	for name, e := range d.entries {
-		if was, known := told[name]; e.State == StateUp {
-			delete(told, name)
-		} else if !known || was.State == StateUp {
-			told[name] = Told{d.clock(), e.State}
-		}
-	}
-}
-
-type wireEntry struct {
-	Host   string  `json:"host"`
-	Dial   string  `json:"dial"`
-	Site   string  `json:"site"`
-	Class  string  `json:"class"`
-	Block  int     `json:"block"`
-	Health string  `json:"health"`
-	Share  float64 `json:"share"`
-	Born   int64   `json:"born_ms"`
-}
-
-// line is the list for a gateway: what changed after a version, or all of it. Called with the lock held.
-func (d *Discovery) line(gateway string, after int) []byte {
-	whole := after <= 0 || after > d.seq
-	doc := struct {
-		Seq   int         `json:"seq"`
-		Whole bool        `json:"whole"`
-		Hosts []wireEntry `json:"hosts"`
-	}{d.seq, whole, []wireEntry{}}
-	for _, name := range d.order {
-		e := d.entries[name]
-		if whole && e.State == StateRemoved ||
-			!whole && !slices.ContainsFunc(d.log, func(c change) bool { return c.seq > after && c.host == name }) {
-			continue
-		}
-		doc.Hosts = append(doc.Hosts, wireEntry{Host: e.Host, Dial: e.Dial[gateway], Site: e.Site, Class: e.Kind,
-			Health: e.State, Share: 1, Born: e.Born})
-	}
-	line, err := json.Marshal(doc)
-	if err != nil {
-		panic(err) // plain values cannot fail
-	}
-	return line
-}
-
 // Known is the list as it stands, as a gateway that restarts would have it.
 func (d *Discovery) Known(gateway string) []byte {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.line(gateway, 0)
+	return d.list.Line(gateway, 0)
 }
 
 // Put enters or changes hosts after the lag, all in one version.
@@ -287,14 +217,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.seq++
-	for _, e := range entries {
-		if _, known := d.entries[e.Host]; !known {
-			d.order = append(d.order, e.Host)
-		}
-		d.entries[e.Host] = e
-		d.log = append(d.log, change{d.seq, e.Host})
-	}
+	d.list.Put(entries...)
 	d.changed.Broadcast()
 }
 
@@ -302,10 +225,7 @@
 func (d *Discovery) Flap() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.seq += 1000
-	for _, name := range d.order {
-		d.log = append(d.log, change{d.seq, name})
-	}
+	d.list.Flap()
 	d.changed.Broadcast()
 }
 
@@ -329,15 +249,14 @@
 func (d *Discovery) Told(gateway, host string) (t Told, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	t, ok = d.told[gateway][host]
-	return t, ok
+	return d.list.Told(gateway, host)
 }
 
 // Forget drops what a gateway was told, as one that has restarted knows it no more.
 func (d *Discovery) Forget(gateway string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delete(d.told, gateway)
+	d.list.Forget(gateway)
 }
 
 // Addr is the address of a gateway's door.
--- /dev/null
+++ b/internal/lab/virtual/clients.go
@@ -0,0 +1,303 @@
+package virtual
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"thymebend/internal/lab/ledger"
+)
+
+// slack is how much later than its patience a client still looks, as for every time limit on sockets.
+const slack = 50 * time.Millisecond
+
+// noticeDead is how long the front goes on sending to a gateway that has died.
+const noticeDead = time.Second
+
+// client is one try of one request.
+type client struct {
+	w       *world
+	req     Request
+	number  int // of the request
+	try     int
+	id      string
+	gw      *machine
+	end     *End
+	used    bool // the connection carried a request before
+	inbox   []byte
+	over    bool
+	sent    bool // its last byte is written
+	crossed bool // it was sent anew because the link closed without reading it
+}
+
+// link is a client connection at rest.
+type link struct {
+	end *End
+	gw  *machine
+}
+
+func (w *world) arrive(n int, r Request, try int) {
+	w.lastID++
+	c := &client{w: w, req: r, number: n, try: try, id: fmt.Sprintf("%08x", w.lastID)}
+	if c.gw = w.front(); c.gw == nil {
+		return
+	}
+	class := "tender-view"
+	if r.Unsafe {
+		class = "bid-lodge"
+	}
+	_ = w.clients.Add(ledger.Try{ID: c.id, Request: n, Number: try, Class: class, Unsafe: r.Unsafe, Target: c.gw.name,
+		Due: w.sim.Now()})
+	w.sim.Note("client %s asks %s", c.id, c.gw.name)
+	w.asked++
+	if r.Act == "" && !r.Fresh {
+		if l := w.rest(c.gw); l != nil {
+			c.end, c.used = l.end, true
+			c.end.ready = c.heard
+			c.write()
+			return
+		}
+	}
+	c.dial()
+}
+
+// rest takes an idle connection to a gateway.
+func (w *world) rest(gw *machine) *link {
+	for i, l := range w.idle {
+		if l.gw == gw && !l.end.Gone() && len(l.end.inbox) == 0 {
+			w.idle = append(w.idle[:i:i], w.idle[i+1:]...)
+			return l
+		}
+	}
+	return nil
+}
+
+func (c *client) dial() {
+	c.used, c.inbox = false, nil
+	c.end = c.w.net.Dial(c.gw.addr, nil, func(err error) {
+		if c.over {
+			return
+		}
+		if err != nil {
+			c.finish("connect refused")
+			return
+		}
+		c.end.ready = c.heard
+		c.write()
+	})
+	end := c.end
+	c.w.sim.After(msec(c.req.Patient), func() {
+		if !c.over && !c.sent && c.end == end {
+			c.finish("never connected")
+		}
+	})
+}
+
+func (c *client) text() []byte {
+	mark := ""
+	if c.try > 0 {
+		mark = "X-Second-Try: 1\r\n"
+	}
+	if c.req.Unsafe {
+		return fmt.Appendf(nil, "POST /bid-lodge HTTP/1.1\r\nHost: x\r\nX-Trace-Id: %s\r\nX-Qos: bid-lodge\r\nX-Expires-In: %dm\r\n%s"+
+			"Content-Length: 40\r\n\r\n%040d", c.id, c.req.Patient, mark, c.number)
+	}
+	return fmt.Appendf(nil, "GET /tender-view/7 HTTP/1.1\r\nHost: x\r\nX-Trace-Id: %s\r\nX-Qos: tender-view\r\nX-Expires-In: %dm\r\n%s\r\n",
+		c.id, c.req.Patient, mark)
+}
+
+func (c *client) write() {
+	text := c.text()
+	switch c.req.Act {
+	case "silent": // connects and says nothing
+		c.w.sim.After(msec(c.req.Patient), func() { c.finish("said nothing") })
+		return
+	case "half":
+		_, _ = c.end.Write(text[:len(text)/2])
+		c.w.sim.After(50*time.Millisecond, func() { c.finish("half a request") })
+		return
+	case "garbage":
+		_, _ = c.end.Write([]byte("\x00\x01nonsense\r\n\r\nContent-Length: -1\r\n\r\n"))
+		c.w.sim.After(3*time.Second, func() {
+			if !c.over {
+				c.w.find("rude client not answered", c.id, "neither an error nor a close within 3 s")
+			}
+			c.finish("garbage")
+		})
+		return
+	case "trickle":
+		c.trickle(text)
+		return
+	case "leave":
+		c.w.sim.After(c.w.sim.Between(time.Millisecond, 300*time.Millisecond), func() { c.finish("left") })
+	}
+	n, err := c.end.Write(text)
+	if err != nil || n < len(text) {
+		c.broken("write")
+		return
+	}
+	c.wasSent()
+}
+
+func (c *client) trickle(text []byte) {
+	if c.over {
+		return
+	}
+	n := min(len(text), 1+len(text)/6)
+	if _, err := c.end.Write(text[:n]); err != nil {
+		c.finish("write")
+		return
+	}
+	if n == len(text) {
+		c.wasSent()
+		return
+	}
+	c.w.sim.After(40*time.Millisecond, func() { c.trickle(text[n:]) })
+}
+
+func (c *client) wasSent() {
+	c.sent = true
+	now := c.w.sim.Now()
+	c.w.clients.Update(c.id, func(t *ledger.Try) { t.Whole, t.Sent = true, now })
+	c.w.sim.After(msec(c.req.Patient)+slack, func() { c.finish("silence") })
+}
+
+func (c *client) heard() {
+	if c.over {
+		return
+	}
+	c.inbox = append(c.inbox, c.end.Read(1<<20)...)
+	if len(c.inbox) > 0 {
+		resp, body, keep, whole := answer(c.inbox, c.end.fin)
+		if whole {
+			c.answered(resp, body, keep)
+			return
+		}
+	}
+	if c.end.Gone() {
+		c.broken("closed")
+	}
+}
+
+// answer reads a whole answer; bytes past it are an error of the gateway's.
+func answer(in []byte, ended bool) (status int, body []byte, keep, whole bool) {
+	src := bytes.NewReader(in)
+	buffered := bufio.NewReader(src)
+	for {
+		r, err := http.ReadResponse(buffered, nil)
+		if err != nil {
+			return 0, nil, false, false
+		}
+		if r.StatusCode < 200 {
+			continue
+		}
+		if r.ContentLength < 0 && !ended {
+			return 0, nil, false, false
+		}
+		body, err = io.ReadAll(r.Body)
+		if errors.Is(err, io.ErrUnexpectedEOF) || err != nil {
+			return 0, nil, false, false
+		}
+		return r.StatusCode, body, !r.Close && src.Len()+buffered.Buffered() == 0, true
+	}
+}
+
+func (c *client) answered(status int, body []byte, keep bool) {
+	c.w.sim.Note("client %s got %d %x", c.id, status, ledger.Hash(body))
+	c.w.clients.Update(c.id, func(t *ledger.Try) {
+		t.Answers++
+		t.Status, t.Hash = status, ledger.Hash(body)
+	})
+	c.w.statuses[status]++
+	c.over = true
+	now := c.w.sim.Now()
+	c.w.clients.Update(c.id, func(t *ledger.Try) { t.Ended = now })
+	if keep {
+		c.keep()
+	} else {
+		c.end.ready = nil
+		c.end.Close()
+	}
+	if status != 200 {
+		c.again()
+	}
+}
+
+// keep rests the link. What comes on it now is an answer that nobody asked for.
+func (c *client) keep() {
+	l := &link{end: c.end, gw: c.gw}
+	c.w.idle = append(c.w.idle, l)
+	id := c.id
+	c.end.ready = func() {
+		if len(l.end.inbox) > 0 {
+			l.end.Read(1 << 20)
+			c.w.clients.Update(id, func(t *ledger.Try) { t.Answers++ })
+		}
+		if l.end.Gone() {
+			l.end.Close()
+			for i, x := range c.w.idle {
+				if x == l {
+					c.w.idle = append(c.w.idle[:i:i], c.w.idle[i+1:]...)
+					break
+				}
+			}
+		}
+	}
+}
+
+// broken ends a try whose link broke. What the gateway has not read is sent once more on a new link: a reset
+// without a byte of an answer tells so, unless the network was to blame.
+func (c *client) broken(why string) {
+	if c.used && !c.crossed && len(c.inbox) == 0 && c.end.reset && !c.end.cut {
+		c.crossed, c.sent = true, false
+		c.w.clients.Update(c.id, func(t *ledger.Try) { t.Whole = false })
+		c.end.Close()
+		c.dial()
+		return
+	}
+	if c.end.cut {
+		why = "cut by the network"
+	}
+	c.finish(why)
+}
+
+// finish ends a try without an answer.
+func (c *client) finish(why string) {
+	if c.over {
+		return
+	}
+	c.over = true
+	c.w.sim.Note("client %s ends: %s", c.id, why)
+	now := c.w.sim.Now()
+	c.w.clients.Update(c.id, func(t *ledger.Try) { t.Ended, t.Cause = now, why })
+	if c.end != nil {
+		c.end.ready = nil
+		c.end.Close()
+	}
+	if why != "left" && c.req.Act == "" {
+		c.again()
+	}
+}
+
+func (c *client) again() {
+	if c.try < c.req.Retries {
+		r, n, try := c.req, c.number, c.try+1
+		c.w.sim.After(c.w.sim.Between(40*time.Millisecond, 300*time.Millisecond), func() { c.w.arrive(n, r, try) })
+	}
+}
+
+// front deals requests out in turn among the gateways that it does not know to be dead.
+func (w *world) front() *machine {
+	for range w.gateways {
+		w.turn++
+		m := w.gateways[w.turn%len(w.gateways)]
+		if !m.left && (m.up || w.sim.Now()-m.died < noticeDead) {
+			return m
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/virtual/discovery.go
@@ -0,0 +1,159 @@
+package virtual
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"thymebend/internal/lab/roster"
+)
+
+// beatEvery is how often discovery writes an empty line while nothing changes.
+const beatEvery = 2 * time.Second
+
+// moveGrace is how long the old address of discovery keeps its open connections after a move.
+const moveGrace = 1500 * time.Millisecond
+
+// discovery plays discovery: the roster behind a listener for each gateway.
+type discovery struct {
+	w       *world
+	list    *roster.Roster
+	doors   []*Listener
+	addrs   []netip.AddrPort
+	port    uint16
+	watches []*watch // open ones, oldest first
+	down    bool
+	mute    bool
+	lag     time.Duration
+}
+
+type watch struct {
+	end     *End
+	via     int
+	inbox   []byte
+	after   int
+	started bool
+	told    bool // its first line has gone out
+	spoke   time.Duration
+}
+
+func (d *discovery) open(via int) {
+	d.port++
+	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, byte(via), 1}), d.port)
+	var l *Listener
+	l = d.w.net.Listen(addr, 64, nil, func() {
+		for e := l.Accept(); e != nil; e = l.Accept() {
+			c := &watch{end: e, via: via, spoke: d.w.sim.Now()}
+			d.watches = append(d.watches, c)
+			e.ready = func() { d.heard(c) }
+			d.heard(c)
+		}
+	})
+	if old := d.doors[via]; old != nil {
+		old.Close()
+		var stay []*watch
+		for _, c := range d.watches {
+			if c.via == via {
+				stay = append(stay, c)
+			}
+		}
+		d.w.sim.After(moveGrace, func() {
+			for _, c := range stay {
+				d.drop(c)
+			}
+		})
+	}
+	d.doors[via], d.addrs[via] = l, addr
+}
+
+func (d *discovery) drop(c *watch) {
+	c.end.Close()
+	for i, x := range d.watches {
+		if x == c {
+			d.watches = append(d.watches[:i:i], d.watches[i+1:]...)
+			return
+		}
+	}
+}
+
+func (d *discovery) heard(c *watch) {
+	c.inbox = append(c.inbox, c.end.Read(1<<16)...)
+	if c.end.Gone() {
+		d.drop(c)
+		return
+	}
+	r, _, rest, whole, err := message(c.inbox)
+	if err != nil {
+		d.w.find("garbled request", "discovery", "%v", err)
+		d.drop(c)
+		return
+	}
+	if !whole || c.started {
+		return
+	}
+	c.inbox = rest
+	if d.down {
+		_, _ = c.end.Write([]byte("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"))
+		d.drop(c)
+		return
+	}
+	c.started = true
+	c.after, _ = strconv.Atoi(r.URL.Query().Get("index"))
+	_, _ = c.end.Write([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"))
+	d.tell(c)
+	d.beat(c)
+}
+
+// tell writes what the watch has not been told.
+func (d *discovery) tell(c *watch) {
+	if d.mute || !c.started || c.told && d.list.Seq() <= c.after {
+		return
+	}
+	line := d.list.Line(gatewayName(c.via), c.after)
+	c.after, c.told = d.list.Seq(), true
+	d.write(c, line)
+	if d.w.gateways[c.via].watches(c) {
+		d.list.Note(gatewayName(c.via), d.w.sim.Now())
+	}
+}
+
+func (d *discovery) write(c *watch, line []byte) {
+	c.spoke = d.w.sim.Now()
+	_, _ = c.end.Write(append(append(fmt.Appendf(nil, "%x\r\n", len(line)+1), line...), "\n\r\n"...))
+}
+
+func (d *discovery) beat(c *watch) {
+	d.w.sim.After(beatEvery, func() {
+		if c.end.closed || c.end.reset {
+			return
+		}
+		if !d.mute && d.w.sim.Now()-c.spoke >= beatEvery {
+			d.write(c, nil)
+		}
+		d.beat(c)
+	})
+}
+
+func (d *discovery) put(e roster.Entry) {
+	d.w.sim.After(d.lag, func() {
+		d.list.Put(e)
+		d.w.sim.Note("discovery %d: %s %s", d.list.Seq(), e.Host, e.State)
+		d.tellAll()
+	})
+}
+
+func (d *discovery) tellAll() {
+	for _, c := range append([]*watch(nil), d.watches...) {
+		d.tell(c)
+	}
+}
+
+func (d *discovery) setDown(on bool) {
+	if d.down = on; on {
+		for _, c := range append([]*watch(nil), d.watches...) {
+			c.end.Reset()
+		}
+		d.watches = nil
+	}
+}
--- /dev/null
+++ b/internal/lab/virtual/hosts.go
@@ -0,0 +1,258 @@
+package virtual
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"thymebend/internal/lab/fleet"
+	"thymebend/internal/lab/ledger"
+	"thymebend/internal/lab/standin"
+)
+
+// message takes one whole request from what a connection brought; ok is false while it is not whole.
+func message(in []byte) (r *http.Request, body []byte, rest []byte, ok bool, err error) {
+	at := bytes.Index(in, []byte("\r\n\r\n"))
+	if at < 0 {
+		return nil, nil, in, false, nil
+	}
+	src := bytes.NewReader(in)
+	buffered := bufio.NewReaderSize(src, 16)
+	if r, err = http.ReadRequest(buffered); err != nil {
+		return nil, nil, in, false, err
+	}
+	if body, err = io.ReadAll(r.Body); err != nil {
+		return nil, nil, in, false, nil // more is to come
+	}
+	left := src.Len() + buffered.Buffered()
+	return r, body, in[len(in)-left:], true, nil
+}
+
+// host is a host on the virtual network: the fleet's model behind a listener for each gateway.
+type host struct {
+	w      *world
+	n      int
+	name   string
+	spec   fleet.Spec
+	model  *fleet.Host
+	ledger *ledger.Host
+	doors  []*Listener
+	addrs  []netip.AddrPort
+	conns  []*hostConn // open ones, oldest first
+	waits  map[uint64]*hostConn
+	due    uint64 // number of the timer that counts
+	silent bool
+	up     bool
+	share  map[string]float64 // of answers spoilt, by how
+	gone   bool
+}
+
+type hostConn struct {
+	end     *End
+	via     int
+	inbox   []byte
+	first   time.Duration // when the first byte of the request came
+	busy    bool
+	model   *fleet.Host
+	closing bool
+}
+
+func (h *host) start(cold bool) {
+	model, err := fleet.New(h.spec, h.w.sim.Rand.Uint64(), h.w.sim.Now(), cold, h.ledger)
+	if err != nil {
+		panic(err) // plans hold no such spec
+	}
+	h.model, h.up, h.waits = model, true, make(map[uint64]*hostConn)
+	h.doors = nil
+	for g, addr := range h.addrs {
+		var l *Listener
+		l = h.w.net.Listen(addr, 128, &h.silent, func() { h.accept(l, g) })
+		h.doors = append(h.doors, l)
+	}
+}
+
+func (h *host) accept(l *Listener, via int) {
+	for e := l.Accept(); e != nil; e = l.Accept() {
+		c := &hostConn{end: e, via: via, model: h.model}
+		h.model.Connected(h.w.sim.Now())
+		h.conns = append(h.conns, c)
+		e.ready = func() { h.heard(c) }
+		h.heard(c)
+	}
+}
+
+// stop ends the process: its connections are reset, new ones refused.
+func (h *host) stop() {
+	if !h.up {
+		return
+	}
+	h.up = false
+	h.model.Fall(h.w.sim.Now())
+	for _, l := range h.doors {
+		l.Close()
+	}
+	for _, c := range h.conns {
+		c.end.Reset()
+	}
+	h.conns = nil
+	h.settle()
+}
+
+func (h *host) drop(c *hostConn) {
+	for i, x := range h.conns {
+		if x == c {
+			h.conns = append(h.conns[:i:i], h.conns[i+1:]...)
+			c.model.Disconnected(h.w.sim.Now())
+			return
+		}
+	}
+}
+
+func (h *host) heard(c *hostConn) {
+	if data := c.end.Read(1 << 20); len(data) > 0 {
+		if len(c.inbox) == 0 {
+			c.first = h.w.sim.Now()
+		}
+		c.inbox = append(c.inbox, data...)
+	}
+	if !c.busy && !c.closing {
+		r, _, rest, whole, err := message(c.inbox)
+		switch {
+		case err != nil:
+			h.w.find("garbled request", h.name, "a host was sent what cannot be read: %v", err)
+			c.end.Close()
+			h.drop(c)
+			return
+		case whole:
+			c.inbox, c.busy = rest, true
+			h.arrive(c, r)
+		}
+	}
+	if c.end.Gone() {
+		c.end.Close()
+		h.drop(c)
+	}
+}
+
+func (h *host) arrive(c *hostConn, r *http.Request) {
+	id, class := r.Header.Get("X-Trace-Id"), r.Header.Get("X-Qos")
+	now := h.w.sim.Now()
+	h.w.arrived(h, c.via, id, c.first)
+	token := h.model.Arrive(now, fleet.Request{ID: id, Class: class})
+	h.w.sim.Note("host %s got %s from %d", h.name, id, c.via)
+	h.waits[token] = c
+	h.settle()
+}
+
+// settle answers what is done and waits for the next.
+func (h *host) settle() {
+	now := h.w.sim.Now()
+	for _, r := range h.model.Advance(now) {
+		if c := h.waits[r.Token]; c != nil {
+			delete(h.waits, r.Token)
+			h.answer(c, r)
+		}
+	}
+	h.due++
+	number := h.due
+	if at, ok := h.model.Next(); ok {
+		h.w.sim.At(at, func() {
+			if number == h.due && h.up {
+				h.settle()
+			}
+		})
+	}
+}
+
+func (h *host) answer(c *hostConn, r fleet.Reply) {
+	c.busy = false
+	load := ""
+	if l, ok := h.model.Report(h.w.sim.Now()); ok {
+		f := standin.DefaultFields()
+		load = fmt.Sprintf("Endpoint-Load-Metrics: TEXT %s=%.3g, %s=%.3g\r\n", f.InFlight, l.InFlight, f.Queue, l.Queue)
+	}
+	say := func(status int, fields string, body []byte) []byte {
+		return append(fmt.Appendf(nil, "HTTP/1.1 %d X\r\n%s%sContent-Length: %d\r\n\r\n", status, load, fields, len(body)), body...)
+	}
+	var out []byte
+	switch r.Kind {
+	case fleet.Lost:
+		c.end.Reset()
+		return
+	case fleet.TurnedAway:
+		out = say(503, "X-Never-Ran: 1\r\n", nil)
+	case fleet.Errored:
+		out = say(500, "", nil)
+	default:
+		out = say(200, "", r.Body)
+		for _, s := range spoils() {
+			if h.w.sim.Chance(h.share[s]) {
+				h.w.sim.Note("host %s spoils %s: %s", h.name, r.ID, s)
+				if h.spoil(c, s, out, r.Body) {
+					return
+				}
+				break
+			}
+		}
+	}
+	_, _ = c.end.Write(out) // a connection that has ended takes nothing
+	h.w.sim.After(0, func() { h.heard(c) })
+}
+
+// spoil writes a spoilt answer, and reports whether it did so; otherwise the good one follows.
+func (h *host) spoil(c *hostConn, how string, whole, body []byte) bool {
+	switch how {
+	case "reset-before":
+		c.end.Reset()
+	case "reset-middle":
+		_, _ = c.end.Write(whole[:len(whole)-1-len(body)/2])
+		c.end.Reset()
+	case "garbage":
+		noise := make([]byte, 200)
+		for i := range noise {
+			noise[i] = byte(h.w.sim.Rand.Uint32())
+		}
+		_, _ = c.end.Write(noise)
+		c.closing = true
+	case "extra":
+		_, _ = c.end.Write(append(whole[:len(whole):len(whole)], whole...))
+		c.closing = true
+	case "interim":
+		_, _ = c.end.Write([]byte("HTTP/1.1 103 Early Hints\r\n\r\n"))
+		return false
+	case "endless-1xx":
+		c.closing = true
+		var more func()
+		more = func() {
+			if _, err := c.end.Write([]byte("HTTP/1.1 102 Processing\r\n\r\n")); err == nil && h.up {
+				h.w.sim.After(20*time.Millisecond, more)
+			}
+		}
+		more()
+	case "long-length":
+		_, _ = c.end.Write(append(fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(body)+50), body...))
+		c.end.Close()
+		h.drop(c)
+	case "close-after":
+		_, _ = c.end.Write(whole)
+		c.closing = true
+		h.w.sim.After(5*time.Millisecond, func() { c.end.Close(); h.drop(c) })
+	default:
+		return false
+	}
+	return true
+}
+
+// setSilent cuts the machine off, or lets it speak again.
+func (h *host) setSilent(on bool) {
+	if h.silent = on; !on {
+		for _, c := range append([]*hostConn(nil), h.conns...) {
+			c.end.Heal()
+			c.end.peer.Heal()
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/virtual/loop.go
@@ -0,0 +1,503 @@
+package virtual
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"thymebend/internal/loop"
+)
+
+// What the real loop has; the conformance suite holds this one to it.
+const (
+	readSize      = 64 << 10
+	mostReady     = 256
+	mostAccept    = 64
+	backlog       = 1024
+	firstAccepted = loop.Conn(1 << 63)
+	ownFiles      = 6 // descriptors of the process that are no sockets
+)
+
+type socket struct {
+	conn       loop.Conn
+	end        *End
+	seq        uint64
+	since      uint64 // when it became ready, in the order of the run; 0 while it is not
+	connecting bool
+	up         bool
+	dialed     error
+	muted      bool
+	urgent     bool
+	out        []byte
+	hot        bool // is in the loop's list of those that may be ready
+}
+
+// Loop is a gateway's process: the reducer on simulated sockets, timers, files, signals and descriptors.
+type Loop struct {
+	sim     *Sim
+	net     *Net
+	reducer loop.Reducer
+	Files   func(path string) ([]byte, error)
+	Sockets int           // descriptors that the process may have; 0: no limit
+	Cost    time.Duration // processor time of one event
+	Partial float64       // chance that a read brings less than has come
+
+	listener *Listener
+	socks    map[loop.Conn]*socket
+	hot      []*socket // those that may be ready
+	accepted loop.Conn
+	seq      uint64
+	timers   timerHeap
+	byKey    map[loop.Timer]*timer
+	queue    []loop.Event
+	signals  []loop.Kind
+	again    bool
+	exited   bool
+	failed   error
+	killed   bool
+	busy     time.Duration
+	waking   uint64 // number of the wake-up that counts
+	wakeAt   time.Duration
+	asleep   bool
+	rounds   uint64
+	silent   *bool
+	lmuted   bool
+	lsince   uint64
+	onExit   func(error)
+}
+
+// NewLoop starts a process whose listener is at an address.
+func NewLoop(sim *Sim, net *Net, at netip.AddrPort, silent *bool, onExit func(error)) *Loop {
+	l := &Loop{sim: sim, net: net, socks: make(map[loop.Conn]*socket), accepted: firstAccepted, byKey: make(map[loop.Timer]*timer),
+		silent: silent, onExit: onExit, Files: func(path string) ([]byte, error) { return nil, os.ErrNotExist }}
+	l.listener = net.Listen(at, backlog, silent, func() {
+		if l.lsince == 0 {
+			l.seq++
+			l.lsince = l.seq
+		}
+		l.wake(sim.Now())
+	})
+	return l
+}
+
+// Run starts the reducer.
+func (l *Loop) Run(r loop.Reducer) {
+	l.reducer = r
+	l.tell(loop.Event{Kind: loop.Start})
+	l.drain()
+	l.sleep()
+}
+
+// Signal has the process told Stop or Reload.
+func (l *Loop) Signal(k loop.Kind) {
+	l.signals = append(l.signals, k)
+	l.wake(l.sim.Now())
+}
+
+// Kill ends the process as kill -9 does: the kernel closes its sockets.
+func (l *Loop) Kill() {
+	if l.exited || l.killed {
+		return
+	}
+	l.killed = true
+	l.closeAll()
+}
+
+func (l *Loop) closeAll() {
+	l.listener.Close()
+	for _, s := range l.ordered() {
+		s.end.ready = nil
+		s.end.Close()
+	}
+	l.socks = nil
+}
+
+func (l *Loop) ordered() []*socket {
+	all := make([]*socket, 0, len(l.socks))
+	for _, s := range l.socks {
+		all = append(all, s)
+	}
+	slices.SortFunc(all, func(a, b *socket) int { return cmp.Compare(a.seq, b.seq) })
+	return all
+}
+
+// Running reports whether the process lives.
+func (l *Loop) Running() bool { return !l.exited && !l.killed }
+
+// Rounds is how often the process woke up; Held is how many sockets and timers it has.
+func (l *Loop) Rounds() uint64 { return l.rounds }
+
+// Held is the number of sockets and timers.
+func (l *Loop) Held() (sockets, timers int) { return len(l.socks), len(l.byKey) }
+
+// wake has a round run at a time, unless one will earlier.
+func (l *Loop) wake(at time.Duration) {
+	if !l.Running() || l.reducer == nil {
+		return
+	}
+	at = max(at, l.busy, l.sim.Now())
+	if l.asleep && l.wakeAt <= at {
+		return
+	}
+	l.asleep, l.wakeAt = true, at
+	l.waking++
+	number := l.waking
+	l.sim.At(at, func() {
+		if number == l.waking && l.Running() {
+			l.asleep = false
+			l.round()
+		}
+	})
+}
+
+// sleep waits for what is ready already, for the next timer, or for news.
+func (l *Loop) sleep() {
+	if !l.Running() {
+		return
+	}
+	now := l.sim.Now()
+	if l.again || len(l.ready()) > 0 || l.listenerReady() {
+		l.wake(now)
+		return
+	}
+	if len(l.timers) > 0 {
+		left := l.timers[0].at - now
+		// epoll sleeps whole milliseconds, rounded up.
+		l.wake(now + max(0, (left+time.Millisecond-1)/time.Millisecond*time.Millisecond))
+	}
+}
+
+func (l *Loop) listenerReady() bool {
+	return !l.listener.closed && !l.lmuted && len(l.listener.backlog) > 0
+}
+
+// isReady is what epoll would report: readable, writable with something to write, or broken.
+func (s *socket) isReady() bool {
+	if s.connecting {
+		return s.up
+	}
+	e := s.end
+	return !s.muted && (len(e.inbox) > 0 || e.fin) || e.reset || e.fin && e.shut || len(s.out) > 0 && e.room > 0
+}
+
+// heat notes that a socket may be ready.
+func (l *Loop) heat(s *socket) {
+	if !s.hot {
+		s.hot = true
+		l.hot = append(l.hot, s)
+	}
+}
+
+func (l *Loop) ready() (list []*socket) {
+	kept := l.hot[:0]
+	for _, s := range l.hot {
+		if l.socks[s.conn] != s || !s.isReady() {
+			s.hot, s.since = false, 0
+			continue
+		}
+		if s.since == 0 {
+			l.seq++
+			s.since = l.seq
+		}
+		kept = append(kept, s)
+	}
+	clear(l.hot[len(kept):])
+	l.hot = kept
+	list = slices.Clone(kept)
+	slices.SortFunc(list, func(a, b *socket) int { return cmp.Compare(a.since, b.since) })
+	return list
+}
+
+// round is one turn of the loop: urgent news and signals, other news, timers, Turn.
+func (l *Loop) round() {
+	l.rounds++
+	l.again = false
+	list := l.ready()
+	waiting := l.listenerReady()
+	if len(list) >= mostReady {
+		list = list[:mostReady]
+	}
+	for _, s := range list { // level-triggered: what stays ready queues up anew
+		l.seq++
+		s.since = l.seq
+	}
+	for _, urgent := range [2]bool{true, false} {
+		if urgent && len(l.signals) > 0 {
+			for _, k := range l.signals {
+				l.tell(loop.Event{Kind: k})
+			}
+			l.signals = nil
+			l.drain()
+		}
+		if !urgent && waiting && l.listenerReady() {
+			l.tell(loop.Event{Kind: loop.Readable, Conn: loop.Listener})
+			l.drain()
+		}
+		for _, s := range list {
+			if s.urgent == urgent && l.socks[s.conn] == s {
+				l.happened(s)
+				l.drain()
+			}
+		}
+	}
+	for now := l.sim.Now(); len(l.timers) > 0 && l.timers[0].at <= now && l.Running(); {
+		t := heap.Pop(&l.timers).(*timer)
+		delete(l.byKey, t.key)
+		l.tell(loop.Event{Kind: loop.TimerDue, Timer: t.key})
+		l.drain()
+	}
+	l.tell(loop.Event{Kind: loop.Turn})
+	l.drain()
+	l.sleep()
+}
+
+func (l *Loop) tell(e loop.Event) { l.queue = append(l.queue, e) }
+
+func (l *Loop) drain() {
+	for i := 0; i < len(l.queue) && l.Running(); i++ {
+		e := l.queue[i]
+		l.busy = max(l.busy, l.sim.Now()) + l.Cost
+		for _, f := range l.reducer.Step(l.sim.Now(), e) {
+			l.do(f)
+		}
+	}
+	clear(l.queue)
+	l.queue = l.queue[:0]
+	if l.exited && l.socks != nil {
+		l.closeAll()
+		l.onExit(l.failed)
+	}
+}
+
+func (l *Loop) happened(s *socket) {
+	if s.connecting {
+		if s.dialed != nil {
+			l.fail(s, s.dialed)
+			return
+		}
+		s.connecting = false
+		l.tell(loop.Event{Kind: loop.Connected, Conn: s.conn})
+		return
+	}
+	e := s.end
+	if len(s.out) > 0 && (e.room > 0 || e.reset) {
+		l.flush(s)
+	}
+	if l.socks[s.conn] == s && (!s.muted && (len(e.inbox) > 0 || e.fin) || e.reset || e.fin && e.shut) {
+		l.tell(loop.Event{Kind: loop.Readable, Conn: s.conn})
+	}
+}
+
+func (l *Loop) do(f loop.Effect) {
+	switch f.Op {
+	case loop.Dial:
+		l.dial(f)
+		return
+	case loop.SetTimer:
+		l.setTimer(f.Timer, f.At)
+		return
+	case loop.StopTimer:
+		if t := l.byKey[f.Timer]; t != nil {
+			delete(l.byKey, f.Timer)
+			heap.Remove(&l.timers, t.pos)
+		}
+		return
+	case loop.ReadFile:
+		data, err := l.Files(f.Path)
+		l.tell(loop.Event{Kind: loop.File, Data: data, Err: err})
+		return
+	case loop.Again:
+		l.again = true
+		return
+	case loop.Exit:
+		l.exited, l.failed = true, f.Failed
+		return
+	}
+	if f.Conn == loop.Listener {
+		l.doListener(f)
+		return
+	}
+	s := l.socks[f.Conn]
+	if s == nil {
+		return
+	}
+	switch f.Op {
+	case loop.Read:
+		l.read(s)
+	case loop.Write:
+		l.write(s, f.Data)
+	case loop.WriteQuiet:
+		if e := s.end; len(e.inbox) > 0 || e.fin || e.reset {
+			l.tell(loop.Event{Kind: loop.Stale, Conn: s.conn})
+			return
+		}
+		l.write(s, f.Data)
+	case loop.Shutdown:
+		s.end.CloseWrite()
+		l.heat(s)
+	case loop.Close:
+		l.remove(s)
+	case loop.Mute, loop.Unmute:
+		s.muted = f.Op == loop.Mute
+		l.heat(s)
+	default:
+		panic(fmt.Sprintf("effect %d is not known", f.Op))
+	}
+}
+
+func (l *Loop) doListener(f loop.Effect) {
+	switch f.Op {
+	case loop.Accept:
+		if !l.listener.closed {
+			l.accept()
+		}
+	case loop.Close:
+		l.listener.Close()
+	case loop.Mute, loop.Unmute:
+		l.lmuted = f.Op == loop.Mute
+	}
+}
+
+func (l *Loop) full() bool { return l.Sockets > 0 && len(l.socks)+ownFiles >= l.Sockets }
+
+func (l *Loop) accept() {
+	for range mostAccept {
+		if len(l.listener.backlog) == 0 {
+			l.tell(loop.Event{Kind: loop.Drained, Conn: loop.Listener})
+			return
+		}
+		if l.full() {
+			l.tell(loop.Event{Kind: loop.AcceptFailed, Conn: loop.Listener, Err: unix.EMFILE})
+			return
+		}
+		l.accepted++
+		l.add(&socket{conn: l.accepted, end: l.listener.Accept()})
+		l.tell(loop.Event{Kind: loop.Accepted, Conn: l.accepted})
+	}
+}
+
+func (l *Loop) add(s *socket) {
+	l.seq++
+	s.seq = l.seq
+	l.socks[s.conn] = s
+	s.end.ready = func() {
+		if l.socks[s.conn] != s || !s.isReady() {
+			return
+		}
+		if s.since == 0 {
+			l.seq++
+			s.since = l.seq
+		}
+		l.heat(s)
+		l.wake(l.sim.Now())
+	}
+	if s.isReady() { // what came before it was accepted
+		l.heat(s)
+	}
+}
+
+func (l *Loop) dial(f loop.Effect) {
+	if l.full() {
+		l.tell(loop.Event{Kind: loop.Broken, Conn: f.Conn, Err: unix.EMFILE})
+		return
+	}
+	s := &socket{conn: f.Conn, connecting: true, urgent: f.Urgent}
+	s.end = l.net.Dial(f.Addr, l.silent, func(err error) {
+		s.up, s.dialed = true, err
+		s.end.heard()
+	})
+	l.add(s)
+}
+
+func (l *Loop) remove(s *socket) {
+	delete(l.socks, s.conn)
+	s.end.ready = nil
+	s.end.Close()
+}
+
+func (l *Loop) fail(s *socket, err error) {
+	l.remove(s)
+	l.tell(loop.Event{Kind: loop.Broken, Conn: s.conn, Err: err})
+}
+
+func (l *Loop) read(s *socket) {
+	e := s.end
+	switch {
+	case len(e.inbox) > 0:
+		most := readSize
+		if l.sim.Chance(l.Partial) {
+			most = 1 + l.sim.Rand.IntN(len(e.inbox))
+		}
+		l.tell(loop.Event{Kind: loop.Data, Conn: s.conn, Data: append([]byte(nil), e.Read(most)...)})
+	case e.reset:
+		l.fail(s, unix.ECONNRESET)
+	case e.fin:
+		l.tell(loop.Event{Kind: loop.EOF, Conn: s.conn})
+	default:
+		l.tell(loop.Event{Kind: loop.Drained, Conn: s.conn})
+	}
+}
+
+func (l *Loop) write(s *socket, data []byte) {
+	waiting := len(s.out) > 0
+	s.out = append(s.out, data...)
+	if !waiting {
+		l.flush(s)
+	}
+}
+
+func (l *Loop) flush(s *socket) {
+	for len(s.out) > 0 {
+		n, err := s.end.Write(s.out)
+		if err == unix.EAGAIN {
+			return
+		}
+		if err != nil {
+			l.fail(s, err)
+			return
+		}
+		s.out = s.out[:copy(s.out, s.out[n:])]
+	}
+	l.tell(loop.Event{Kind: loop.Flushed, Conn: s.conn})
+}
+
+type timer struct {
+	key loop.Timer
+	at  time.Duration
+	seq uint64
+	pos int
+}
+
+type timerHeap []*timer
+
+func (h timerHeap) Len() int { return len(h) }
+func (h timerHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i]; h[i].pos, h[j].pos = i, j }
+func (h *timerHeap) Push(x any)   { t := x.(*timer); t.pos = len(*h); *h = append(*h, t) }
+func (h *timerHeap) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return t
+}
+
+func (l *Loop) setTimer(key loop.Timer, at time.Duration) {
+	l.seq++
+	if t := l.byKey[key]; t != nil {
+		t.at, t.seq = at, l.seq
+		heap.Fix(&l.timers, t.pos)
+		return
+	}
+	t := &timer{key: key, at: at, seq: l.seq}
+	l.byKey[key] = t
+	heap.Push(&l.timers, t)
+}
--- /dev/null
+++ b/internal/lab/virtual/net.go
@@ -0,0 +1,267 @@
+package virtual
+
+import (
+	"net/netip"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// sendBuffer is how many bytes may be under way or unread before a write takes no more.
+const sendBuffer = 200 << 10
+
+// Net is the network: listeners, and connections whose bytes take time and may be cut anywhere.
+type Net struct {
+	sim       *Sim
+	listeners map[netip.AddrPort]*Listener
+	Latency   time.Duration // one way
+	Jitter    time.Duration // more, at most
+	Split     float64       // chance that a write arrives in pieces, cut at any byte
+	ResetAt   float64       // chance that a write resets its connection at any of its bytes
+	LoseDial  float64       // chance that a connection never comes up
+}
+
+// NewNet returns a network without faults.
+func NewNet(sim *Sim) *Net {
+	return &Net{sim: sim, listeners: make(map[netip.AddrPort]*Listener), Latency: 100 * time.Microsecond}
+}
+
+// Listener takes connections, as the kernel does, until its backlog is full.
+type Listener struct {
+	net     *Net
+	addr    netip.AddrPort
+	backlog []*End
+	most    int
+	silent  *bool // the machine says nothing while it is set
+	ready   func()
+	closed  bool
+}
+
+// End is one end of a connection.
+type End struct {
+	net    *Net
+	peer   *End
+	inbox  []byte
+	fin    bool // the peer's sending has ended
+	reset  bool
+	cut    bool // the network has reset it, neither end did
+	closed bool
+	shut   bool // our sending has ended
+	room   int  // bytes that the connection still takes from us
+	last   time.Duration
+	silent *bool    // this end's machine says nothing while it is set
+	held   []func() // what is on the way to a silent machine
+	ready  func()   // something came, or there is room again
+}
+
+// Listen opens a listener. ready is called when a connection waits.
+func (n *Net) Listen(addr netip.AddrPort, backlog int, silent *bool, ready func()) *Listener {
+	l := &Listener{net: n, addr: addr, most: backlog, silent: silent, ready: ready}
+	n.listeners[addr] = l
+	return l
+}
+
+// Close closes a listener; what waits in its backlog is reset.
+func (l *Listener) Close() {
+	if l.closed {
+		return
+	}
+	l.closed = true
+	if l.net.listeners[l.addr] == l {
+		delete(l.net.listeners, l.addr)
+	}
+	for _, e := range l.backlog {
+		e.Reset()
+	}
+	l.backlog = nil
+}
+
+// Accept takes a waiting connection, or nil.
+func (l *Listener) Accept() *End {
+	if len(l.backlog) == 0 {
+		return nil
+	}
+	e := l.backlog[0]
+	l.backlog = l.backlog[1:]
+	return e
+}
+
+func (n *Net) delay() time.Duration { return n.Latency + n.sim.Between(0, n.Jitter) }
+
+// Dial connects. done is called once it is known how that ended; it never is where nobody answers. The end is
+// valid at once: closing it gives the attempt up.
+func (n *Net) Dial(addr netip.AddrPort, silent *bool, done func(err error)) *End {
+	a := &End{net: n, room: sendBuffer, silent: silent}
+	lost := n.sim.Chance(n.LoseDial)
+	n.sim.After(n.delay(), func() {
+		l := n.listeners[addr]
+		switch {
+		case lost || a.closed || l != nil && l.silent != nil && *l.silent:
+			return
+		case l == nil:
+			n.sim.After(n.delay(), func() {
+				if !a.closed {
+					done(unix.ECONNREFUSED)
+				}
+			})
+			return
+		case len(l.backlog) >= l.most:
+			return
+		}
+		b := &End{net: n, room: sendBuffer, peer: a, silent: l.silent}
+		a.peer = b
+		l.backlog = append(l.backlog, b)
+		l.ready()
+		n.sim.After(n.delay(), func() {
+			if !a.closed {
+				done(nil)
+			}
+		})
+	})
+	return a
+}
+
+// deliver has something reach an end in the order in which it was sent.
+func (e *End) deliver(do func()) {
+	at := max(e.last, e.net.sim.Now()+e.net.delay())
+	e.last = at
+	e.net.sim.At(at, func() {
+		if e.cutOff() {
+			e.held = append(e.held, do)
+			return
+		}
+		do()
+	})
+}
+
+// cutOff reports that one of the two machines says and hears nothing.
+func (e *End) cutOff() bool {
+	return e.silent != nil && *e.silent || e.peer != nil && e.peer.silent != nil && *e.peer.silent
+}
+
+// Heal delivers what was on its way to a machine that was silent.
+func (e *End) Heal() {
+	held := e.held
+	e.held = nil
+	for _, do := range held {
+		do()
+	}
+}
+
+func (e *End) heard() {
+	if e.ready != nil && !e.closed {
+		e.ready()
+	}
+}
+
+// Write sends what the connection takes now.
+func (e *End) Write(data []byte) (int, error) {
+	switch {
+	case e.reset:
+		return 0, unix.ECONNRESET
+	case e.shut || e.closed:
+		return 0, unix.EPIPE
+	}
+	n := min(len(data), e.room)
+	if n == 0 {
+		return 0, unix.EAGAIN
+	}
+	e.room -= n
+	sent := append([]byte(nil), data[:n]...)
+	if s := e.net.sim; s.Chance(e.net.ResetAt) {
+		cut := s.Rand.IntN(n + 1)
+		e.send(sent[:cut])
+		p := e.peer
+		e.cut, p.cut = true, true
+		p.deliver(func() { p.gotReset() })
+		e.deliver(func() { e.gotReset() })
+		return n, nil
+	}
+	for e.net.sim.Chance(e.net.Split) && len(sent) > 1 {
+		cut := 1 + e.net.sim.Rand.IntN(len(sent)-1)
+		e.send(sent[:cut])
+		e.peer.last = max(e.peer.last, e.net.sim.Now()) + e.net.sim.Between(0, 3*time.Millisecond)
+		sent = sent[cut:]
+	}
+	e.send(sent)
+	return n, nil
+}
+
+func (e *End) send(data []byte) {
+	if len(data) == 0 {
+		return
+	}
+	p := e.peer
+	p.deliver(func() {
+		switch {
+		case p.reset:
+		case p.closed: // nobody is there to read it
+			e.deliver(func() { e.gotReset() })
+		default:
+			p.inbox = append(p.inbox, data...)
+			p.heard()
+		}
+	})
+}
+
+func (e *End) gotReset() {
+	if !e.reset {
+		e.reset = true
+		e.heard()
+	}
+}
+
+// Read takes at most so many bytes of what has come, and makes room for as many at the peer.
+func (e *End) Read(most int) []byte {
+	n := min(most, len(e.inbox))
+	data := e.inbox[:n:n]
+	e.inbox = e.inbox[n:]
+	if p := e.peer; n > 0 {
+		was := p.room
+		p.room += n
+		if was == 0 {
+			p.deliver(func() { p.heard() })
+		}
+	}
+	return data
+}
+
+// CloseWrite ends our sending.
+func (e *End) CloseWrite() {
+	if e.shut || e.closed || e.peer == nil {
+		return
+	}
+	e.shut = true
+	p := e.peer
+	p.deliver(func() {
+		p.fin = true
+		p.heard()
+	})
+}
+
+// Close ends the connection. Bytes that lie unread make it a reset, as the kernel does.
+func (e *End) Close() {
+	if e.closed {
+		return
+	}
+	if len(e.inbox) > 0 {
+		e.Reset()
+		return
+	}
+	e.CloseWrite()
+	e.closed = true
+}
+
+// Reset ends the connection at once.
+func (e *End) Reset() {
+	if e.closed {
+		return
+	}
+	e.closed = true
+	if p := e.peer; p != nil && !e.reset {
+		p.deliver(func() { p.gotReset() })
+	}
+}
+
+// Gone reports that the connection has ended for this end's reader, with all bytes read.
+func (e *End) Gone() bool { return len(e.inbox) == 0 && (e.fin || e.reset) }
--- /dev/null
+++ b/internal/lab/virtual/plan.go
@@ -0,0 +1,248 @@
+package virtual
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"time"
+)
+
+// Fault is something that goes wrong at a time. Times are milliseconds after the run's begin.
+type Fault struct {
+	AtMS  int     `json:"at_ms"`
+	Do    string  `json:"do"`
+	Who   int     `json:"who"`    // number of the host or gateway
+	ForMS int     `json:"for_ms"` // until it is undone
+	Share float64 `json:"share,omitempty"`
+	What  string  `json:"what,omitempty"`
+}
+
+// Request is what one client asks.
+type Request struct {
+	AtMS    int    `json:"at_ms"`
+	Unsafe  bool   `json:"unsafe,omitempty"`
+	Patient int    `json:"patience_ms"`
+	Retries int    `json:"retries,omitempty"`
+	Act     string `json:"act,omitempty"` // "" as it should; leave, trickle, half, garbage, silent
+	Fresh   bool   `json:"fresh,omitempty"`
+}
+
+// Plan is a whole run: what it consists of, and every fault and request in it.
+type Plan struct {
+	Seed      uint64    `json:"seed"`
+	Profile   string    `json:"profile"`
+	Gateways  int       `json:"gateways"`
+	Hosts     int       `json:"hosts"`
+	Sockets   int       `json:"sockets"`
+	LagMS     int       `json:"lag_ms"`
+	LatencyUS int       `json:"latency_us"`
+	JitterUS  int       `json:"jitter_us"`
+	Split     float64   `json:"split,omitempty"`
+	Partial   float64   `json:"partial,omitempty"`
+	Resets    float64   `json:"resets,omitempty"`
+	LoseDials float64   `json:"lose_dials,omitempty"`
+	CostUS    int       `json:"cost_us,omitempty"`
+	Cold      bool      `json:"cold,omitempty"`
+	Faults    []Fault   `json:"faults"`
+	Requests  []Request `json:"requests"`
+}
+
+// The faults of each profile. A run turns a random subset of them on.
+func profiles() map[string][]string {
+	hosts := []string{"host-down", "host-drain", "host-replace", "host-hang", "host-silent"}
+	spoils := []string{"host-spoil", "host-down", "host-hang", "host-errors"}
+	gateways := []string{"gateway-kill", "gateway-term"}
+	disc := []string{"discovery-down", "discovery-mute", "discovery-flap", "discovery-lag"}
+	rude := []string{"rude-leave", "rude-trickle", "rude-half", "rude-garbage", "rude-silent"}
+	net := []string{"net-split", "net-jitter", "net-reset", "net-lose", "net-slow"}
+	return map[string][]string{
+		"drain-retry":    append([]string{"host-drain", "host-replace", "host-errors", "net-reset", "net-split"}, hosts...),
+		"restart-surge":  append([]string{"surge", "net-slow"}, gateways...),
+		"cold-return":    {"host-down", "host-cold", "surge", "host-hang", "gateway-kill"},
+		"discovery-lies": append([]string{"host-drain", "host-down", "gateway-reload"}, disc...),
+		"bad-hosts":      append([]string{"net-split"}, spoils...),
+		"rude-clients":   append([]string{"net-split", "gateway-term"}, rude...),
+		"reload":         {"gateway-reload", "host-drain", "host-replace", "discovery-down", "gateway-term"},
+		"everything":     slices.Concat(hosts, spoils, gateways, disc, rude, net, []string{"surge", "host-cold", "gateway-reload"}),
+	}
+}
+
+// Profiles lists the profiles by name.
+func Profiles() []string {
+	var names []string
+	for n := range profiles() {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Draw makes the plan of a seed. An empty profile takes one by the seed.
+func Draw(seed uint64, profile string) (Plan, error) {
+	rng := rand.New(rand.NewPCG(seed, 0xd1ce))
+	all := Profiles()
+	if profile == "" {
+		profile = all[rng.IntN(len(all))]
+	}
+	kinds, ok := profiles()[profile]
+	if !ok {
+		return Plan{}, fmt.Errorf("profile %q is none of %v", profile, all)
+	}
+	p := Plan{Seed: seed, Profile: profile, Gateways: 1 + rng.IntN(3), Hosts: 2 + rng.IntN(7), Sockets: 256 + rng.IntN(512),
+		LagMS: rng.IntN(1500), LatencyUS: 50 + rng.IntN(400), CostUS: 5 + rng.IntN(30)}
+	on := make(map[string]bool)
+	for _, k := range kinds { // swarm testing: faults that are always on together hide one another
+		if rng.IntN(2) == 0 {
+			on[k] = true
+		}
+	}
+	between := func(least, most int) int { return least + rng.IntN(most-least+1) }
+	if on["net-split"] {
+		p.Split, p.Partial = 0.2, 0.3
+	}
+	if on["net-jitter"] {
+		p.JitterUS = between(500, 8000)
+	}
+	if on["net-reset"] {
+		p.Resets = 0.002
+	}
+	if on["net-lose"] {
+		p.LoseDials = 0.02
+	}
+	if on["net-slow"] {
+		p.CostUS = between(100, 400)
+	}
+	length := between(6000, 14000)
+	for _, k := range kinds {
+		if !on[k] || k[:4] == "net-" || k[:4] == "rude" || k == "surge" {
+			continue
+		}
+		on[k] = false // some stand in a profile twice
+		for range between(1, 3) {
+			f := Fault{AtMS: between(500, length-1000), Do: k, ForMS: between(200, 4000)}
+			switch {
+			case k[:4] == "host":
+				f.Who = rng.IntN(p.Hosts)
+			case k[:4] == "gate":
+				f.Who = rng.IntN(p.Gateways)
+			}
+			switch k {
+			case "host-spoil":
+				what := spoils()
+				f.What, f.Share = what[rng.IntN(len(what))], 0.02+0.3*rng.Float64()
+			case "host-errors":
+				f.Share = 0.05 + 0.4*rng.Float64()
+			case "gateway-term", "gateway-kill":
+				f.ForMS = between(200, 1500)
+			case "discovery-lag":
+				f.Share = float64(between(0, 4000))
+			case "gateway-reload":
+				if rng.IntN(4) == 0 {
+					f.What = "faulty"
+				}
+			}
+			p.Faults = append(p.Faults, f)
+		}
+	}
+	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return cmp.Compare(a.AtMS, b.AtMS) })
+	var rude []string
+	for _, k := range kinds {
+		if k[:4] == "rude" && on[k] {
+			rude = append(rude, k[5:])
+		}
+	}
+	rate := float64(p.Hosts) * (8 + 12*rng.Float64()) // of some 25 a second that a host can do
+	jumpAt, jumpTo := between(2000, length), 0
+	if on["surge"] {
+		jumpTo = jumpAt + between(1000, 4000)
+	}
+	for at := 0.0; at < float64(length); {
+		r := rate
+		if int(at) >= jumpAt && int(at) < jumpTo {
+			r *= 2.5
+		}
+		at += rng.ExpFloat64() * 1000 / r
+		q := Request{AtMS: int(at), Unsafe: rng.Float64() < 0.36, Patient: between(1200, 2500), Fresh: rng.IntN(20) == 0}
+		if rng.IntN(3) == 0 {
+			q.Retries = 1
+		}
+		if len(rude) > 0 && rng.IntN(10) == 0 {
+			q.Act, q.Retries = rude[rng.IntN(len(rude))], 0
+		}
+		p.Requests = append(p.Requests, q)
+	}
+	return p, nil
+}
+
+func spoils() []string {
+	return []string{"reset-before", "reset-middle", "garbage", "extra", "interim", "long-length", "close-after", "endless-1xx"}
+}
+
+// ReadPlan reads a kept plan.
+func ReadPlan(path string) (Plan, error) {
+	var p Plan
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return p, err
+	}
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return p, fmt.Errorf("%s: %w", path, err)
+	}
+	if p.Gateways < 1 || p.Gateways > 200 || p.Hosts < 1 || p.Hosts > 1000 {
+		return p, fmt.Errorf("%s: gateways must be 1 to 200 and hosts 1 to 1000", path)
+	}
+	return p, nil
+}
+
+// Write keeps a plan.
+func (p Plan) Write(path string) error {
+	raw, err := json.MarshalIndent(p, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(raw, '\n'), 0o644)
+}
+
+// Shrink drops faults and requests as long as the run still breaks the rule, halves first. It plays at most so
+// many runs.
+func Shrink(p Plan, rule string, most int) (Plan, int) {
+	runs := 0
+	breaks := func(q Plan) bool {
+		runs++
+		return slices.ContainsFunc(Play(q, nil).Findings, func(f Finding) bool { return f.Rule == rule })
+	}
+	for again := true; again && runs < most; {
+		again = false
+		p.Faults = reduce(p.Faults, func(part []Fault) bool {
+			q := p
+			q.Faults = part
+			return runs < most && breaks(q)
+		}, &again)
+		p.Requests = reduce(p.Requests, func(part []Request) bool {
+			q := p
+			q.Requests = part
+			return runs < most && breaks(q)
+		}, &again)
+	}
+	return p, runs
+}
+
+// reduce leaves out runs of a list, long ones first, where the rest is still enough.
+func reduce[T any](list []T, enough func([]T) bool, less *bool) []T {
+	for size := max(1, len(list)/2); size >= 1; size /= 2 {
+		for from := 0; from < len(list); {
+			part := slices.Concat(list[:from], list[min(len(list), from+size):])
+			if enough(part) {
+				list, *less = part, true
+				continue
+			}
+			from += size
+		}
+	}
+	return list
+}
+
+func msec(n int) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/internal/lab/virtual/sim.go
@@ -0,0 +1,109 @@
+// Package virtual runs the real gateway's reducer on a virtual clock: a loop that carries out every loop.Effect
+// on simulated sockets, a network with faults, and peers made of the laboratory's models. A run is one
+// goroutine; everything random is drawn from one seed, so the same seed is the same run to the letter.
+package virtual
+
+import (
+	"container/heap"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/zeebo/xxh3"
+)
+
+// Sim is virtual time and what is to happen in it.
+type Sim struct {
+	Rand  *rand.Rand
+	now   time.Duration
+	seq   uint64
+	due   events
+	hash  xxh3.Hasher
+	trace io.Writer
+	steps uint64
+}
+
+type event struct {
+	at  time.Duration
+	seq uint64
+	do  func()
+}
+
+type events []*event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(*event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*e = old[:len(old)-1]
+	return last
+}
+
+// epoch is the virtual clock's begin, in Unix time: hosts' births are told in it.
+const epoch = 1_700_000_000 * time.Second
+
+// NewSim starts a run. trace gets a line for each thing noted; it may be nil.
+func NewSim(seed uint64, trace io.Writer) *Sim {
+	return &Sim{Rand: rand.New(rand.NewPCG(seed, 0x7e57)), now: epoch, trace: trace}
+}
+
+// Now is the virtual time.
+func (s *Sim) Now() time.Duration { return s.now }
+
+// Since is the time since the run's begin.
+func (s *Sim) Since() time.Duration { return s.now - epoch }
+
+// At has something done at a time; what is past is done now, after what is due already.
+func (s *Sim) At(at time.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.due, &event{max(at, s.now), s.seq, do})
+}
+
+// After has something done after a time.
+func (s *Sim) After(d time.Duration, do func()) { s.At(s.now+d, do) }
+
+// Run lets time pass until nothing is left to happen before a time.
+func (s *Sim) Run(until time.Duration) {
+	for len(s.due) > 0 && s.due[0].at <= until {
+		e := heap.Pop(&s.due).(*event)
+		s.now = e.at
+		s.steps++
+		e.do()
+	}
+	s.now = max(s.now, until)
+}
+
+// Steps is how many things have happened.
+func (s *Sim) Steps() uint64 { return s.steps }
+
+// Note enters something into the trace and its hash.
+func (s *Sim) Note(format string, args ...any) {
+	line := fmt.Appendf(nil, "%d ", s.Since().Microseconds())
+	line = fmt.Appendf(line, format, args...)
+	line = append(line, '\n')
+	_, _ = s.hash.Write(line) // a hash never fails
+	if s.trace != nil {
+		_, _ = s.trace.Write(line)
+	}
+}
+
+// Hash is that of all that was noted so far.
+func (s *Sim) Hash() uint64 { return s.hash.Sum64() }
+
+// Chance is true with a probability.
+func (s *Sim) Chance(p float64) bool { return p > 0 && s.Rand.Float64() < p }
+
+// Between draws a time.
+func (s *Sim) Between(least, most time.Duration) time.Duration {
+	if most <= least {
+		return least
+	}
+	return least + time.Duration(s.Rand.Int64N(int64(most-least)))
+}
--- /dev/null
+++ b/internal/lab/virtual/world.go
@@ -0,0 +1,537 @@
+package virtual
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"runtime/debug"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"thymebend/internal/config"
+	"thymebend/internal/gateway"
+	"thymebend/internal/lab/experiment"
+	"thymebend/internal/lab/ledger"
+	"thymebend/internal/lab/roster"
+	"thymebend/internal/loop"
+)
+
+// Rules beyond those of the ledgers.
+const (
+	Panicked  = "panic"
+	Stuck     = "stuck"      // a gateway did not end after SIGTERM though nothing was left to answer
+	NotAsleep = "not asleep" // a gateway woke up though nothing happened
+	Leaked    = "leaked"     // links or timers beyond those that rest at the end of the day
+)
+
+// The rules in figures; see the operators' pages.
+const (
+	drainGrace = 300 * time.Millisecond
+	leaveFront = 300 * time.Millisecond
+	lateTaken  = 700 * time.Millisecond
+	killSpread = 5 * time.Millisecond
+	quietFor   = 8 * time.Second  // of nothing at the end of the day
+	mostRounds = 40               // of a gateway in the last half of that: beats, and the module's own
+	endWithin  = 12 * time.Second // of SIGTERM
+)
+
+// Finding is a broken rule.
+type Finding struct {
+	Rule   string `json:"rule"`
+	ID     string `json:"id"`
+	Detail string `json:"detail"`
+}
+
+// Outcome is what a run came to.
+type Outcome struct {
+	Hash     uint64
+	Findings []Finding
+	Tries    int
+	Served   int
+	Refused  int
+	Failed   int
+	Steps    uint64
+	Lasted   time.Duration // of virtual time
+}
+
+type world struct {
+	plan     Plan
+	file     *experiment.File
+	sim      *Sim
+	net      *Net
+	disc     *discovery
+	hosts    []*host
+	former   []*ledger.Host
+	gateways []*machine
+	clients  *ledger.Clients
+	idle     []*link
+	found    []Finding
+	statuses map[int]int
+	asked    int
+	lastID   uint64
+	turn     int
+	replaced int
+}
+
+// machine is a gateway's machine; its process may end and start again.
+type machine struct {
+	w     *world
+	n     int
+	name  string
+	addr  netip.AddrPort
+	conf  []byte // its configuration file
+	loop  *Loop
+	up    bool
+	left  bool // the front knows that it restarts
+	died  time.Duration
+	kills []time.Duration
+	stops []time.Duration
+	life  int
+}
+
+func gatewayName(n int) string { return fmt.Sprintf("g%d", n) }
+
+// watches reports whether a watch is one of the present process's: one of an earlier life tells nobody.
+func (m *machine) watches(*watch) bool { return m.up }
+
+func (w *world) find(rule, id, format string, args ...any) {
+	w.found = append(w.found, Finding{rule, id, fmt.Sprintf(format, args...)})
+	w.sim.Note("BROKEN %s: %s", rule, id)
+}
+
+// Play runs a plan. trace gets a line for each thing that happens; it may be nil.
+func Play(p Plan, trace io.Writer) (out Outcome) {
+	sim := NewSim(p.Seed, trace)
+	w := &world{plan: p, sim: sim, net: NewNet(sim), clients: ledger.NewClients(), statuses: make(map[int]int), file: day(p)}
+	w.net.Latency, w.net.Jitter = time.Duration(p.LatencyUS)*time.Microsecond, time.Duration(p.JitterUS)*time.Microsecond
+	defer func() {
+		if r := recover(); r != nil {
+			w.find(Panicked, "gateway", "%v at %s", r, place(string(debug.Stack())))
+			out = w.outcome()
+		}
+	}()
+	w.build()
+	// Faults of the network begin once everything stands.
+	sim.Run(epoch + 300*time.Millisecond)
+	w.net.Split, w.net.ResetAt, w.net.LoseDial = p.Split, p.Resets, p.LoseDials
+	start := sim.Now()
+	end := 0
+	for i, r := range p.Requests {
+		sim.At(start+msec(r.AtMS), func() { w.arrive(i, r, 0) })
+		end = max(end, r.AtMS+2*(r.Patient+400))
+	}
+	for _, f := range p.Faults {
+		sim.At(start+msec(f.AtMS), func() { w.happen(f) })
+		end = max(end, f.AtMS+f.ForMS+1000)
+	}
+	sim.Run(start + msec(end) + 3*time.Second)
+	w.quiet()
+	w.stopAll()
+	w.compare()
+	return w.outcome()
+}
+
+// place is where a panic came from: the first line of this project's in a stack, below the panic itself.
+func place(stack string) string {
+	lines := strings.Split(stack, "\n")
+	seen := false
+	for _, l := range lines {
+		seen = seen || strings.HasPrefix(l, "panic(")
+		if at := strings.LastIndex(l, "/"); seen && strings.HasPrefix(l, "\t") && strings.Contains(l, ".go:") && !strings.Contains(l, "/runtime/") {
+			return strings.Fields(l[at+1:])[0]
+		}
+	}
+	return "unknown"
+}
+
+// day is the fleet and the classes of every plan.
+func day(p Plan) *experiment.File {
+	d := func(t time.Duration) experiment.Duration { return experiment.Duration{Duration: t} }
+	f := &experiment.File{Name: "seed"}
+	f.Gateways = experiment.Gateways{Count: p.Gateways, Cores: 1, MemoryMB: 64, Sockets: p.Sockets}
+	f.Clients = experiment.Clients{MostAfter: d(2 * time.Second), Marks: true}
+	f.Classes = []experiment.Class{
+		{Name: "tender-view", Share: 0.64, Worth: 1, Aim: d(800 * time.Millisecond), Patience: d(2 * time.Second),
+			Work: experiment.Work{Dist: "pareto", Mean: d(35 * time.Millisecond), CV: 2}},
+		{Name: "bid-lodge", Share: 0.36, Unsafe: true, Worth: 8, Aim: d(800 * time.Millisecond), Patience: d(2500 * time.Millisecond),
+			Work: experiment.Work{Dist: "lognormal", Mean: d(70 * time.Millisecond), CV: 2}}}
+	f.Hosts = []experiment.Hosts{{Kind: "h", Count: p.Hosts, Site: "suva", Cores: 1, Speed: 1.2, Slots: 1, Queue: 14, ThrashAt: 8, Thrash: 0.04,
+		ColdFrom: 0.2, ColdFor: d(12 * time.Second), WarmBy: "work", Fall: 3, FallFor: d(time.Second), PauseEvery: d(6 * time.Second),
+		PauseFor: d(30 * time.Millisecond), ErrorRate: 0.0005, Idle: d(30 * time.Second), ReportMin: d(50 * time.Millisecond),
+		ReportMax: d(300 * time.Millisecond), ReportLate: d(40 * time.Millisecond), Noise: 0.1, Body: 60, Handshake: d(2 * time.Millisecond)}}
+	return f
+}
+
+func (w *world) build() {
+	p := w.plan
+	w.disc = &discovery{w: w, list: roster.New(), doors: make([]*Listener, p.Gateways), addrs: make([]netip.AddrPort, p.Gateways), port: 8500}
+	for n := range p.Gateways {
+		w.disc.open(n)
+		w.gateways = append(w.gateways, &machine{w: w, n: n, name: gatewayName(n),
+			addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(n), 1}), 8443)})
+	}
+	for n := range p.Hosts {
+		w.addHost(n, nil, p.Cold && n%2 == 0)
+	}
+	w.disc.lag = msec(p.LagMS)
+	for _, m := range w.gateways {
+		m.start()
+	}
+}
+
+// addHost starts a host; it takes over another's addresses if they are given.
+func (w *world) addHost(n int, addrs []netip.AddrPort, cold bool) {
+	spec := w.file.Spec(w.file.Hosts[0], n)
+	h := &host{w: w, n: n, name: spec.Name, spec: spec, ledger: ledger.NewHost(spec.Name), addrs: addrs, share: make(map[string]float64)}
+	if addrs == nil {
+		for g := range w.gateways {
+			h.addrs = append(h.addrs, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 3 + byte(n>>8), byte(n), byte(g + 1)}), 9000))
+		}
+	}
+	h.start(cold)
+	if n < len(w.hosts) {
+		w.hosts[n] = h
+	} else {
+		w.hosts = append(w.hosts, h)
+	}
+	w.list(h, roster.Up, cold)
+}
+
+func (w *world) list(h *host, state string, cold bool) {
+	e := roster.Entry{Host: h.name, Site: "suva", Kind: "h", State: state, Dial: make(map[string]string)}
+	if old, ok := w.disc.list.Find(h.name); ok {
+		e.Born = old.Born
+	}
+	if cold {
+		e.Born = w.sim.Now().Milliseconds()
+	}
+	for g, a := range h.addrs {
+		e.Dial[gatewayName(g)] = a.String()
+	}
+	if w.disc.lag == 0 && w.sim.Since() == 0 {
+		w.disc.list.Put(e)
+		return
+	}
+	w.disc.put(e)
+}
+
+// arrived holds every request against what its gateway had been told.
+func (w *world) arrived(h *host, via int, id string, first time.Duration) {
+	if told, ok := w.disc.list.Told(gatewayName(via), h.name); ok && first-told.At > drainGrace {
+		w.find(ledger.LateToDrained, id, "%s got it from %s %v after it was told %s", h.name, gatewayName(via), first-told.At, told.State)
+	}
+}
+
+// start starts a gateway's process, which knows nothing but its last list.
+func (m *machine) start() {
+	w := m.w
+	conf, err := json.Marshal(map[string]any{"name": m.name, "listen": m.addr.String(), "discovery": w.disc.addrs[m.n].String(),
+		"seed": fmt.Sprintf("%016x", w.sim.Rand.Uint64()), "limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": w.plan.Sockets},
+		"known": json.RawMessage(w.disc.list.Line(m.name, 0)), "settings": w.file.Settings(m.n)})
+	if err != nil {
+		panic(err)
+	}
+	m.conf = conf
+	cfg, err := config.Config{Name: m.name, Path: m.name, Listen: m.addr}.Reload(conf)
+	if err != nil {
+		panic(err)
+	}
+	m.up, m.left = true, false
+	m.life++
+	w.sim.Note("%s starts", m.name)
+	m.loop = NewLoop(w.sim, w.net, m.addr, nil, func(err error) {
+		m.up, m.died = false, w.sim.Now()
+		w.sim.Note("%s exits", m.name)
+		if err != nil {
+			w.find(ledger.GatewayDied, m.name, "%v", err)
+		}
+	})
+	m.loop.Sockets, m.loop.Cost, m.loop.Partial = w.plan.Sockets, time.Duration(w.plan.CostUS)*time.Microsecond, w.plan.Partial
+	m.loop.Files = func(path string) ([]byte, error) {
+		if path != m.name {
+			return nil, os.ErrNotExist
+		}
+		return m.conf, nil
+	}
+	m.loop.Run(gateway.New(cfg, zerolog.Nop()))
+}
+
+// stopAll ends the day with SIGTERM everywhere: each gateway must end by itself.
+func (w *world) stopAll() {
+	for _, l := range append([]*link(nil), w.idle...) {
+		l.end.ready = nil
+		l.end.Close()
+	}
+	w.sim.Run(w.sim.Now() + 100*time.Millisecond)
+	for _, m := range w.gateways {
+		if m.up {
+			m.loop.Signal(loop.Stop)
+		}
+	}
+	w.sim.Run(w.sim.Now() + endWithin)
+	for _, m := range w.gateways {
+		if m.up {
+			sockets, timers := m.loop.Held()
+			w.find(Stuck, m.name, "alive %v after SIGTERM at rest, with %d sockets and %d timers", endWithin, sockets, timers)
+		}
+	}
+}
+
+// quiet lets nothing happen for a while, and looks whether the gateways sleep and hold no more than at rest.
+func (w *world) quiet() {
+	w.sim.Run(w.sim.Now() + quietFor/2)
+	before := make([]uint64, len(w.gateways))
+	for i, m := range w.gateways {
+		before[i] = m.loop.rounds
+	}
+	w.sim.Run(w.sim.Now() + quietFor/2)
+	for i, m := range w.gateways {
+		if !m.up {
+			continue
+		}
+		if n := m.loop.rounds - before[i]; n > mostRounds {
+			w.find(NotAsleep, m.name, "woke up %d times in %v of nothing", n, quietFor/2)
+		}
+		resting := 0
+		for _, l := range w.idle {
+			if l.gw == m {
+				resting++
+			}
+		}
+		sockets, timers := m.loop.Held()
+		// Each server link at rest has a timer, each client link too; the watch and the module have a few.
+		if most := 2*resting + sockets + 60; timers > most {
+			w.find(Leaked, m.name, "%d timers with %d sockets and %d client links at rest", timers, sockets, resting)
+		}
+	}
+}
+
+func (w *world) excused(t ledger.Try) bool {
+	if t.Cause == "cut by the network" || t.Cause == "left" {
+		return true
+	}
+	for _, m := range w.gateways {
+		if m.name != t.Target {
+			continue
+		}
+		for _, k := range m.kills {
+			if t.Sent <= k+killSpread && t.Ended >= k-killSpread {
+				return true
+			}
+		}
+		for _, s := range m.stops {
+			if t.Sent >= s+lateTaken && t.Sent <= s+10*time.Second {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (w *world) compare() {
+	var hosts []*ledger.Host
+	for _, h := range w.hosts {
+		hosts = append(hosts, h.ledger)
+		if h.model.ColdPeak() > 1 {
+			w.find(ledger.PushedOver, h.name, "sent %.2f times the most that it survives while cold", h.model.ColdPeak())
+		}
+	}
+	hosts = append(hosts, w.former...)
+	found, _ := ledger.Compare(w.clients.Tries(), hosts, w.excused)
+	for _, f := range found {
+		w.find(f.Rule, f.ID, "%s", f.Detail)
+	}
+}
+
+func (w *world) outcome() Outcome {
+	o := Outcome{Hash: w.sim.Hash(), Findings: w.found, Tries: w.asked, Steps: w.sim.Steps(), Lasted: w.sim.Since()}
+	for s, n := range w.statuses {
+		switch {
+		case s == 200:
+			o.Served += n
+		case s == 429 || s == 503:
+			o.Refused += n
+		default:
+			o.Failed += n
+		}
+	}
+	slices.SortStableFunc(o.Findings, func(a, b Finding) int { return strings.Compare(a.Rule, b.Rule) })
+	return o
+}
+
+func (w *world) host(n int) *host {
+	if n < 0 || n >= len(w.hosts) || w.hosts[n].gone {
+		return nil
+	}
+	return w.hosts[n]
+}
+
+// happen is one fault, undone after its time.
+func (w *world) happen(f Fault) {
+	w.sim.Note("fault %s %d", f.Do, f.Who)
+	after := func(do func()) { w.sim.After(msec(f.ForMS), do) }
+	now := w.sim.Now()
+	if strings.HasPrefix(f.Do, "host-") {
+		if h := w.host(f.Who); h != nil {
+			w.toHost(f, h, after)
+		}
+		return
+	}
+	switch f.Do {
+	case "discovery-down":
+		w.disc.setDown(true)
+		after(func() { w.disc.setDown(false) })
+	case "discovery-mute":
+		w.disc.mute = true
+		after(func() { w.disc.mute = false; w.disc.tellAll() })
+	case "discovery-flap":
+		w.disc.list.Flap()
+		w.disc.tellAll()
+	case "discovery-lag":
+		w.disc.lag = msec(int(f.Share))
+	case "gateway-kill", "gateway-term", "gateway-reload":
+		if f.Who >= len(w.gateways) || !w.gateways[f.Who].up || w.gateways[f.Who].left {
+			return
+		}
+		m := w.gateways[f.Who]
+		switch f.Do {
+		case "gateway-kill":
+			m.kills = append(m.kills, now)
+			m.loop.Kill()
+			m.up, m.died = false, now
+			w.disc.list.Forget(m.name)
+			after(m.start)
+		case "gateway-term":
+			w.term(m, f)
+		default:
+			if f.What == "faulty" {
+				good := m.conf
+				m.conf = good[:len(good)/2]
+				m.loop.Signal(loop.Reload)
+				w.sim.After(50*time.Millisecond, func() { m.conf = good })
+				return
+			}
+			w.disc.open(m.n)
+			var fields map[string]any
+			if err := json.Unmarshal(m.conf, &fields); err != nil {
+				return // the good file is not back yet
+			}
+			fields["discovery"] = w.disc.addrs[m.n].String()
+			m.conf, _ = json.Marshal(fields) // plain values cannot fail
+			m.loop.Signal(loop.Reload)
+		}
+	}
+}
+
+// term restarts a gateway as planned.
+func (w *world) term(m *machine, f Fault) {
+	m.stops = append(m.stops, w.sim.Now())
+	m.loop.Signal(loop.Stop)
+	w.sim.After(leaveFront, func() { m.left = true })
+	life := m.life
+	var wait func(tries int)
+	wait = func(tries int) {
+		switch {
+		case m.life != life:
+		case !m.up:
+			w.disc.list.Forget(m.name)
+			w.sim.After(msec(f.ForMS), func() {
+				if !m.up {
+					m.start()
+				}
+			})
+		case tries == 0:
+			// The platform kills it now. What it had taken in time and not answered is lost by its own fault.
+			m.loop.Kill()
+			m.up, m.died = false, w.sim.Now()
+			w.sim.After(0, func() { wait(1) })
+		default:
+			w.sim.After(100*time.Millisecond, func() { wait(tries - 1) })
+		}
+	}
+	wait(37) // the longest patience, the time to take more, and half a second
+}
+
+func (w *world) toHost(f Fault, h *host, after func(func())) {
+	now := w.sim.Now()
+	switch f.Do {
+	case "host-down", "host-cold":
+		if !h.up {
+			return
+		}
+		h.stop()
+		if f.Do == "host-cold" {
+			f.ForMS = 10
+		} else {
+			w.list(h, roster.Removed, false)
+		}
+		w.sim.After(msec(f.ForMS), func() {
+			if !h.gone && !h.up {
+				h.start(true)
+				w.list(h, roster.Up, true)
+			}
+		})
+	case "host-drain", "host-replace":
+		if !h.up {
+			return
+		}
+		w.list(h, roster.Draining, false)
+		w.sim.After(w.disc.lag+drainGrace+500*time.Millisecond, func() {
+			h.model.Drain(w.sim.Now(), true)
+		})
+		w.sim.After(w.disc.lag+4*time.Second, func() {
+			if h.gone {
+				return
+			}
+			w.list(h, roster.Removed, false)
+			w.sim.After(w.disc.lag+500*time.Millisecond, func() {
+				if h.gone {
+					return
+				}
+				h.stop()
+				h.gone = true
+				if f.Do == "host-replace" {
+					w.former = append(w.former, h.ledger)
+					w.replaced++
+					n := h.n
+					fresh := w.plan.Hosts + w.replaced
+					w.addHostAt(n, fresh, h.addrs)
+				}
+			})
+		})
+	case "host-hang":
+		h.model.Hold(now, true)
+		h.settle()
+		model := h.model
+		after(func() {
+			if h.model == model && h.up {
+				model.Hold(w.sim.Now(), false)
+				h.settle()
+			}
+		})
+	case "host-silent":
+		h.setSilent(true)
+		after(func() { h.setSilent(false) })
+	case "host-errors":
+		h.model.SetErrors(now, f.Share)
+		model := h.model
+		after(func() { model.SetErrors(w.sim.Now(), 0) })
+	case "host-spoil":
+		h.share[f.What] = f.Share
+		after(func() { h.share[f.What] = 0 })
+	}
+}
+
+// addHostAt puts a new host with a name of its own in another's place, at its addresses.
+func (w *world) addHostAt(place, n int, addrs []netip.AddrPort) {
+	spec := w.file.Spec(w.file.Hosts[0], n)
+	h := &host{w: w, n: place, name: spec.Name, spec: spec, ledger: ledger.NewHost(spec.Name), addrs: addrs, share: make(map[string]float64)}
+	h.start(true)
+	w.hosts[place] = h
+	w.list(h, roster.Up, true)
+}
