Close a stopping gateway's idle links in order, and hash every effect of a run

Cause: closeListener asked for effects while walking a map, so the same events had different effects (stop.go:33). Change: links are walked oldest first; the hash of a virtual run takes in every effect with its data.

--- a/internal/clients/link.go
+++ b/internal/clients/link.go
@@ -1,6 +1,9 @@
 package clients
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -98,6 +101,11 @@
 // NewLinks returns room for so many links.
 func NewLinks(most int) *Links { return &Links{ByConn: make(map[loop.Conn]*Link), Most: most} }
 
+// InOrder returns the links, oldest first. Maps are walked in no order; the same events must have the same effects.
+func (s *Links) InOrder() []*Link {
+	return slices.SortedFunc(maps.Values(s.ByConn), func(a, b *Link) int { return cmp.Compare(a.Conn, b.Conn) })
+}
+
 // Before reports whether l gives way before m where links run short. Guards against crowds that ask once, or
 // never, and stay. Silent links go first, then those that brought a query; those that are young or have only
 // asked for health go last, as their first query is to come and would be lost with them. Of those alike the one
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -30,7 +30,7 @@
 func (g *Gateway) closeListener() {
 	g.closed = true
 	g.ask(loop.Effect{Op: loop.Accept, Conn: loop.Listener})
-	for _, l := range g.links.ByConn {
+	for _, l := range g.links.InOrder() {
 		switch {
 		case l.Busy:
 		case l.Pending():
--- a/internal/lab/virtual/loop.go
+++ b/internal/lab/virtual/loop.go
@@ -264,6 +264,7 @@
 		e := l.queue[i]
 		l.busy = max(l.busy, l.sim.Now()) + l.Cost
 		for _, f := range l.reducer.Step(l.sim.Now(), e) {
+			l.sim.effect(f)
 			l.do(f)
 		}
 	}
--- a/internal/lab/virtual/sim.go
+++ b/internal/lab/virtual/sim.go
@@ -5,12 +5,15 @@
 
 import (
 	"container/heap"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"time"
 
 	"github.com/zeebo/xxh3"
+
+	"thymebend/internal/loop"
 )
 
 // Sim is virtual time and what is to happen in it.
@@ -94,6 +97,18 @@
 	}
 }
 
+// effect enters an effect into the hash: the same events must have the same effects, in the same order.
+func (s *Sim) effect(f loop.Effect) {
+	var b [40]byte
+	b[0], b[1] = byte(f.Op), f.Timer.Kind
+	binary.LittleEndian.PutUint64(b[8:], uint64(f.Conn))
+	binary.LittleEndian.PutUint64(b[16:], f.Timer.ID)
+	binary.LittleEndian.PutUint64(b[24:], uint64(f.At))
+	binary.LittleEndian.PutUint64(b[32:], uint64(len(f.Data)))
+	_, _ = s.hash.Write(b[:])
+	_, _ = s.hash.Write(f.Data)
+}
+
 // Hash is that of all that was noted so far.
 func (s *Sim) Hash() uint64 { return s.hash.Sum64() }
 
