--- /dev/null
+++ b/internal/lab/mutants/main.go
@@ -0,0 +1,151 @@
+// Command mutants plants one defect after another in a copy of the tree and counts the seeded runs that it takes
+// to catch each. It shows that the checks can fail; make mutants runs it.
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+)
+
+type edit struct{ file, old, new string }
+
+type mutant struct {
+	name    string
+	profile string
+	edits   []edit
+}
+
+// mostSeeds bounds the search; a mutant that survives them is a gap of the checks.
+const mostSeeds = 300
+
+func mutants() []mutant {
+	one := func(name, profile, file, old, new string) mutant {
+		return mutant{name, profile, []edit{{file, old, new}}}
+	}
+	return []mutant{
+		one("resend an unsafe query after a reset", "bad-hosts", "balancer.go",
+			"		if a.unrun || c.Effect == Safe {", "		if true {"),
+		{"forget the drain check", "drain-retry", []edit{
+			{"balancer.go", "return s.State == Ready && b.now >= s.restUntil", "return b.now >= s.restUntil"},
+			{"internal/gateway/fromservers.go", "if host == nil || host.State != thymebend.Ready {", "if host == nil {"}}},
+		one("take an end after the flush as unsent", "bad-hosts", "internal/gateway/fromservers.go",
+			"		g.endExecution(x, EndCut, nil)", "		g.endExecution(x, EndUnsent, nil)"),
+		one("reuse a link with bytes left over", "bad-hosts", "internal/servers/pool.go",
+			"return a.KeepAlive && !l.reader.Pending()", "return a.KeepAlive"),
+		one("drop the check of the never-ran header", "bad-hosts", "internal/gateway/fromservers.go",
+			"case a.NeverRan && (a.Status == 503 || a.Status == 504):", "case a.Status == 503 || a.Status == 504:"),
+		one("leak a query when its client leaves", "rude-clients", "internal/gateway/fromclients.go",
+			"		g.endExecution(x, EndClientGone, nil)\n	}\n	g.forget(q)\n", "		g.endExecution(x, EndClientGone, nil)\n	}\n"),
+		{"keep what a full list leaves out", "discovery-lies", []edit{
+			{"internal/hostgroup/list.go", "	if doc.Whole {", "	if false {"},
+			{"internal/hostgroup/list.go", "News{Whole: doc.Whole}", "News{}"}}},
+		one("refuse a bid that may have run", "bad-hosts", "balancer.go", "	if b.mayRefuse(r) {", "	if true {"),
+		one("ignore the cold budget", "cold-return", "balancer.go", " && b.coldRoom(s)\n", "\n"),
+		one("lose queries at SIGTERM", "restart-surge", "internal/gateway/stop.go",
+			"if g.closed && len(g.queries) == 0 && len(g.links.ByConn) == 0 {", "if g.closed {"),
+		one("answer twice", "reload", "internal/gateway/fromclients.go",
+			"	q.client = 0\n	g.lastWords(l, data)", "	q.client = 0\n	g.lastWords(l, append(data, data...))"),
+		one("a timer that never stops", "reload", "internal/gateway/gateway.go",
+			"		g.exitIfDone()\n", "		g.setTimer(200, 0, now+5*time.Millisecond)\n		g.exitIfDone()\n"),
+		one("invent an id", "reload", "internal/servers/pool.go", "	for _, f := range m.Fields {",
+			"	for _, f := range m.Fields {\n		if f.Name == \"X-Trace-Id\" {\n			f.Value += \"x\"\n		}"),
+		one("end executions at a host without their link", "bad-hosts", "internal/gateway/fromservers.go",
+			"		g.unbind(x)\n		g.dropLink(l, end)", "		g.unbind(x)\n		g.pool.Rest(l)"),
+	}
+}
+
+func main() {
+	root, err := os.Getwd()
+	if err == nil {
+		_, err = os.Stat(filepath.Join(root, "balancer.go"))
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "mutants: run it from the tree's root:", err)
+		os.Exit(2)
+	}
+	list := mutants()
+	rows := make([]string, len(list))
+	missed := 0
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	turn := make(chan bool, 3)
+	for i, m := range list {
+		turn <- true
+		all.Go(func() {
+			defer func() { <-turn }()
+			row, caught := try(root, m)
+			mu.Lock()
+			defer mu.Unlock()
+			if rows[i] = row; !caught {
+				missed++
+			}
+		})
+	}
+	all.Wait()
+	fmt.Printf("| defect | profile | seeds until caught | rule |\n| --- | --- | --- | --- |\n%s\n", strings.Join(rows, "\n"))
+	if missed > 0 {
+		fmt.Fprintf(os.Stderr, "mutants: %d not caught within %d seeds\n", missed, mostSeeds)
+		os.Exit(1)
+	}
+}
+
+// try plants one defect and looks for it.
+func try(root string, m mutant) (row string, caught bool) {
+	say := func(format string, args ...any) string {
+		return fmt.Sprintf("| %s | %s | %s |", m.name, m.profile, fmt.Sprintf(format, args...))
+	}
+	dir, err := os.MkdirTemp("", "mutant")
+	if err != nil {
+		return say("error | %v", err), false
+	}
+	defer os.RemoveAll(dir)
+	if err := os.CopyFS(dir, sources(root)); err != nil {
+		return say("error | %v", err), false
+	}
+	for _, e := range m.edits {
+		path := filepath.Join(dir, e.file)
+		text, err := os.ReadFile(path)
+		if err != nil || bytes.Count(text, []byte(e.old)) != 1 {
+			return say("error | %s does not hold the text to change once", e.file), false
+		}
+		if err := os.WriteFile(path, bytes.Replace(text, []byte(e.old), []byte(e.new), 1), 0o644); err != nil {
+			return say("error | %v", err), false
+		}
+	}
+	build := exec.Command("go", "build", "-o", "mutant", "./cmd/thymelab")
+	build.Dir = dir
+	if out, err := build.CombinedOutput(); err != nil {
+		return say("error | does not build: %.200s", out), false
+	}
+	const batch = 5
+	for from := 1; from <= mostSeeds; from += batch {
+		report := filepath.Join(dir, "report.json")
+		run := exec.Command("./mutant", "seeds", "--from", fmt.Sprint(from), "--count", fmt.Sprint(batch), "--profile", m.profile,
+			"--jobs", "1", "--json", report)
+		run.Dir = dir
+		if err := run.Run(); err == nil {
+			continue // no failure
+		}
+		var found struct {
+			Failures []struct {
+				Seed int
+				Rule string
+			}
+		}
+		raw, err := os.ReadFile(report)
+		if err == nil {
+			err = json.Unmarshal(raw, &found)
+		}
+		if err != nil || len(found.Failures) == 0 {
+			return say("error | %v", err), false
+		}
+		return say("%d | %s", found.Failures[0].Seed, found.Failures[0].Rule), true
+	}
+	return say("not in %d | -", mostSeeds), false
+}
--- a/internal/lab/virtual/clients.go
+++ b/internal/lab/virtual/clients.go
@@ -31,6 +31,7 @@
 	over    bool
 	sent    bool // its last byte is written
 	crossed bool // it was sent anew because the link closed without reading it
+	waited  bool // for the reset that may follow an end
 }
 
 // link is a client connection at rest.
@@ -253,6 +254,17 @@
 // broken ends a try whose link broke. What the gateway has not read is sent once more on a new link: a reset
 // without a byte of an answer tells so, unless the network was to blame.
 func (c *client) broken(why string) {
+	if c.used && !c.crossed && !c.waited && len(c.inbox) == 0 && c.end.fin && !c.end.reset {
+		// The end may have crossed the request; the reset that says so is a round trip behind it.
+		c.waited = true
+		end := c.end
+		c.w.sim.After(3*(c.w.net.Latency+c.w.net.Jitter)+time.Millisecond, func() {
+			if !c.over && c.end == end {
+				c.broken(why)
+			}
+		})
+		return
+	}
 	if c.used && !c.crossed && len(c.inbox) == 0 && c.end.reset && !c.end.cut {
 		c.crossed, c.sent = true, false
 		c.w.clients.Update(c.id, func(t *ledger.Try) { t.Whole = false })
--- a/internal/lab/virtual/hosts.go
+++ b/internal/lab/virtual/hosts.go
@@ -222,7 +222,10 @@
 		c.closing = true
 	case "extra":
 		_, _ = c.end.Write(append(whole[:len(whole):len(whole)], whole...))
-		c.closing = true
+		h.w.sim.After(0, func() { h.heard(c) })
+	case "bare-503": // it has run; only a refusal that says so never ran
+		_, _ = c.end.Write([]byte("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"))
+		h.w.sim.After(0, func() { h.heard(c) })
 	case "interim":
 		_, _ = c.end.Write([]byte("HTTP/1.1 103 Early Hints\r\n\r\n"))
 		return false
