--- /dev/null
+++ b/internal/lab/virtual/hunt_test.go
@@ -0,0 +1,100 @@
+package virtual
+
+import (
+	"go/ast"
+	"go/importer"
+	"go/parser"
+	"go/token"
+	"go/types"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// ordered are the functions that walk a map and may, and why that has no order.
+func ordered() map[string]string {
+	return map[string]string{
+		"gateway.evict":        "keeps the first by a total order",
+		"gateway.stop":         "sets a flag on each",
+		"servers.Oldest":       "keeps the first by number",
+		"servers.ConnectingTo": "sorts what it found",
+		"hostgroup.Apply":      "sorts what it found",
+		"settings.flatten":     "fills a map by path",
+	}
+}
+
+// The code under simulation has one clock, one random source and no order but that of its events.
+func TestNothingIsDrawnFromOutside(t *testing.T) {
+	allowed := ordered()
+	fset := token.NewFileSet()
+	imports := importer.ForCompiler(fset, "source", nil)
+	for _, dir := range []string{".", "internal/gateway", "internal/clients", "internal/servers", "internal/hostgroup", "internal/http1",
+		"internal/settings"} {
+		names, err := filepath.Glob(filepath.Join("../../..", dir, "*.go"))
+		if err != nil || len(names) == 0 {
+			t.Fatalf("%s: %v", dir, err)
+		}
+		var files []*ast.File
+		for _, n := range names {
+			if strings.HasSuffix(n, "_test.go") {
+				continue
+			}
+			text, err := os.ReadFile(n)
+			if err != nil {
+				t.Fatal(err)
+			}
+			f, err := parser.ParseFile(fset, n, text, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			files = append(files, f)
+		}
+		info := &types.Info{Types: make(map[ast.Expr]types.TypeAndValue), Uses: make(map[*ast.Ident]types.Object)}
+		conf := types.Config{Importer: imports}
+		if _, err := conf.Check(dir, fset, files, info); err != nil {
+			t.Fatal(err)
+		}
+		for _, f := range files {
+			for _, d := range f.Decls {
+				fn, ok := d.(*ast.FuncDecl)
+				if !ok {
+					continue
+				}
+				name := f.Name.Name + "." + fn.Name.Name
+				ast.Inspect(fn, func(n ast.Node) bool {
+					switch n := n.(type) {
+					case *ast.RangeStmt:
+						if _, isMap := info.Types[n.X].Type.Underlying().(*types.Map); isMap && allowed[name] == "" {
+							t.Errorf("%s: %s walks a map", fset.Position(n.Pos()), name)
+						}
+					case *ast.Ident:
+						o := info.Uses[n]
+						fun, isFunc := o.(*types.Func)
+						if !isFunc || fun.Pkg() == nil || fun.Signature().Recv() != nil {
+							break
+						}
+						switch p := fun.Pkg().Path(); {
+						case p == "time" && (fun.Name() == "Now" || fun.Name() == "Since" || fun.Name() == "After" || fun.Name() == "Sleep"),
+							strings.HasPrefix(p, "math/rand") && !strings.HasPrefix(fun.Name(), "New"),
+							p == "maps" && !strings.Contains(text(fset, n), "slices.Sorted"):
+							t.Errorf("%s: %s uses %s.%s", fset.Position(n.Pos()), name, p, fun.Name())
+						}
+					}
+					return true
+				})
+			}
+		}
+	}
+}
+
+// text is the line of the source on which a node stands.
+func text(fset *token.FileSet, n ast.Node) string {
+	at := fset.Position(n.Pos())
+	raw, err := os.ReadFile(at.Filename)
+	if err != nil {
+		return ""
+	}
+	lines := strings.Split(string(raw), "\n")
+	return lines[at.Line-1]
+}
--- a/internal/lab/virtual/plan.go
+++ b/internal/lab/virtual/plan.go
@@ -133,6 +133,9 @@
 	if size.Requests > 0 {
 		length = max(2000, int(float64(size.Requests)/rate*1000))
 	}
+	// A slow processor is one thing, one that cannot do its work at all another: no rule can be kept on that.
+	const eventsOfRequest, surge, most = 20, 2.5, 0.6
+	p.CostUS = min(p.CostUS, int(most*1e6/(rate/float64(p.Gateways)*eventsOfRequest*surge)))
 	times := 1 + (p.Hosts+p.Gateways)/20*length/20000 // faults are as dense in large runs
 	for _, k := range kinds {
 		if !on[k] || k[:4] == "net-" || k[:4] == "rude" || k == "surge" {
