Start a simulated gateway once, log into traces, and read a watch cut anywhere

Change: world.go starts a machine that is up no second time; traces hold gateways' log lines and what discovery tells; a test cuts a watch's stream at every byte.

--- a/balancer.go
+++ b/balancer.go
@@ -64,7 +64,7 @@
 	ownSharers    = 8.0       // gateways of its own zone that use a server
 	farSharers    = 4.0       // and of the others
 	leastMembers  = 2.0       // servers that a gateway uses in all, if there are so many
-	restShare     = 1.0 / 64  // of the aim that a server rests at least after turning work away or failing fast
+	restShare     = 1.0 / 64  // of the aim, the least rest of a server that turned work away or failed
 	coldShare     = 0.5       // of the work that would push a cold server over, over all gateways
 )
 
--- /dev/null
+++ b/internal/hostgroup/pieces_test.go
@@ -0,0 +1,38 @@
+package hostgroup
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+)
+
+// A watch's lines come whole wherever the network cuts them.
+func TestWatchLinesInPieces(t *testing.T) {
+	lines := []string{`{"seq":1,"whole":false,"hosts":[]}`, `{"seq":2,"whole":false,"hosts":[{"host":"a","health":"removed"}]}`, ``, `{"seq":3,"whole":false,"hosts":[]}`}
+	stream := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, l := range lines {
+		stream += fmt.Sprintf("%x\r\n%s\n\r\n", len(l)+1, l)
+	}
+	for first := range len(stream) {
+		for _, more := range []int{1, 2, 3, 7, 50} {
+			w := NewWatch(1, netip.AddrPort{})
+			var got []string
+			feed := func(part string) {
+				out, ended, err := w.Feed([]byte(part))
+				if err != nil || ended {
+					t.Fatalf("cut at %d and %d: %v", first, more, err)
+				}
+				for _, l := range out {
+					got = append(got, string(l))
+				}
+			}
+			feed(stream[:first])
+			second := min(len(stream), first+more)
+			feed(stream[first:second])
+			feed(stream[second:])
+			if fmt.Sprint(got) != fmt.Sprint(lines) {
+				t.Fatalf("cut at %d and %d: %q", first, second, got)
+			}
+		}
+	}
+}
--- a/internal/lab/virtual/discovery.go
+++ b/internal/lab/virtual/discovery.go
@@ -121,6 +121,7 @@
 
 func (d *discovery) write(c *watch, line []byte) {
 	c.spoke = d.w.sim.Now()
+	d.w.sim.Note("discovery tells %s %.600s", gatewayName(c.via), line)
 	_, _ = c.end.Write(append(append(fmt.Appendf(nil, "%x\r\n", len(line)+1), line...), "\n\r\n"...))
 }
 
--- a/internal/lab/virtual/world.go
+++ b/internal/lab/virtual/world.go
@@ -233,6 +233,9 @@
 // start starts a gateway's process, which knows nothing but its last list.
 func (m *machine) start() {
 	w := m.w
+	if m.up {
+		return // a kill within a planned restart: both would start it again
+	}
 	conf, err := json.Marshal(map[string]any{"name": m.name, "listen": m.addr.String(), "discovery": w.disc.addrs[m.n].String(),
 		"seed": fmt.Sprintf("%016x", w.sim.Rand.Uint64()), "limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": w.plan.Sockets},
 		"known": json.RawMessage(w.disc.list.Line(m.name, 0)), "settings": w.file.Settings(m.n)})
@@ -261,7 +264,23 @@
 		}
 		return m.conf, nil
 	}
-	m.loop.Run(w.wrap(gateway.New(cfg, zerolog.Nop())))
+	m.loop.Run(w.wrap(gateway.New(cfg, m.logger())))
+}
+
+// logger writes a gateway's log into the trace, where there is one. The hash does not take it in.
+func (m *machine) logger() zerolog.Logger {
+	if m.w.sim.trace == nil {
+		return zerolog.Nop()
+	}
+	return zerolog.New(logLine{m.w.sim}).Level(zerolog.InfoLevel).With().Str("name", m.name).Logger()
+}
+
+// logLine puts the time before each line of a log.
+type logLine struct{ sim *Sim }
+
+func (l logLine) Write(line []byte) (int, error) {
+	_, err := fmt.Fprintf(l.sim.trace, "%d log %s", l.sim.Since().Microseconds(), line)
+	return len(line), err
 }
 
 // stopAll ends the day with SIGTERM everywhere: each gateway must end by itself.
