Tell what the virtual runs measured, and hold signals to the real loop

Change: figures of the virtual runs, the baseline's swing, a conformance case for signals on both loops.

--- a/internal/lab/virtual/conform_test.go
+++ b/internal/lab/virtual/conform_test.go
@@ -91,6 +91,7 @@
 	addr() netip.Addr   // of the peer's own listener, see port
 	port() uint16       // that accepts
 	closedPort() uint16 // that refuses
+	signal(loop.Kind)   // has the process told Stop or Reload
 }
 
 type step struct {
@@ -214,6 +215,9 @@
 			}
 			return nil
 		}), steps: []step{{func(peer) {}, []string{"file true"}}}},
+		{name: "signals, one after another", on: plain(closeAtEnd), steps: []step{
+			{func(p peer) { p.signal(loop.Reload) }, []string{"reload"}}, {func(p peer) { p.signal(loop.Stop) }, []string{"stop"}},
+			{func(p peer) { p.connect(); p.send(2) }, []string{"accepted c1", "data c1 2"}}}},
 		{name: "news of a socket closed in the same round", on: plain(func(_ *script, _ time.Duration, e loop.Event) []loop.Effect {
 			if e.Kind == loop.Data {
 				return []loop.Effect{{Op: loop.Write, Conn: e.Conn, Data: []byte("x")}, {Op: loop.Close, Conn: e.Conn}, {Op: loop.Read, Conn: e.Conn}}
@@ -285,6 +289,10 @@
 		}
 	}(p.conn())
 }
+func (p *realPeer) signal(k loop.Kind) {
+	s := map[loop.Kind]syscall.Signal{loop.Reload: syscall.SIGUSR1, loop.Stop: syscall.SIGUSR2}[k]
+	_ = syscall.Kill(syscall.Getpid(), s)
+}
 func (p *realPeer) end() string { p.mu.Lock(); defer p.mu.Unlock(); return p.ended }
 
 func onReal(t *testing.T, c testCase) {
@@ -316,6 +324,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	l.Notify(syscall.SIGUSR1, syscall.SIGUSR2)
 	quit := make(chan bool)
 	s := &script{names: make(map[loop.Conn]string)}
 	inner := c.on(p)
@@ -368,6 +377,7 @@
 
 // virtualPeer works on the virtual network.
 type virtualPeer struct {
+	loop    *Loop
 	sim     *Sim
 	net     *Net
 	at      netip.AddrPort
@@ -398,11 +408,12 @@
 		p.ended = "eof"
 	}
 }
-func (p *virtualPeer) send(n int) { p.pending = append(p.pending, make([]byte, n)...); p.heard() }
-func (p *virtualPeer) shut()      { p.sim.Run(p.sim.Now() + 20*time.Millisecond); p.last.CloseWrite() }
-func (p *virtualPeer) close()     { p.last.Close() }
-func (p *virtualPeer) reset()     { p.last.Reset() }
-func (p *virtualPeer) drain()     { p.reading = true; p.heard() }
+func (p *virtualPeer) send(n int)         { p.pending = append(p.pending, make([]byte, n)...); p.heard() }
+func (p *virtualPeer) shut()              { p.sim.Run(p.sim.Now() + 20*time.Millisecond); p.last.CloseWrite() }
+func (p *virtualPeer) close()             { p.last.Close() }
+func (p *virtualPeer) reset()             { p.last.Reset() }
+func (p *virtualPeer) drain()             { p.reading = true; p.heard() }
+func (p *virtualPeer) signal(k loop.Kind) { p.loop.Signal(k) }
 func (p *virtualPeer) end() string {
 	return p.ended
 }
@@ -419,6 +430,7 @@
 	ln = n.Listen(netip.AddrPortFrom(p.addr(), p.port()), 16, nil, func() { p.last = ln.Accept(); p.watch() })
 	l := NewLoop(sim, n, at, nil, func(error) {})
 	s := &script{names: make(map[loop.Conn]string), on: c.on(p)}
+	p.loop = l
 	l.Run(s)
 	var want []string
 	for _, st := range c.steps {
