Play the hash test's seeds side by side, and plant a timer that rests

Cause: under the race detector the virtual package's tests took 96 s, 54 of them for 40 processes one after another. Change: the seeds run in parallel; the planted timer comes every 5 ms instead of spinning.

--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -72,19 +72,22 @@
 // The same seed is the same run, to the letter, in other processes and on other numbers of processors.
 func TestSameSeedSameHash(t *testing.T) {
 	for seed := uint64(100); seed < 120; seed++ {
-		var hashes []string
-		for _, procs := range []string{"1", "4"} {
-			cmd := exec.Command(os.Args[0])
-			cmd.Env = append(os.Environ(), fmt.Sprintf("%s=%d", hashEnv, seed), "GOMAXPROCS="+procs)
-			out, err := cmd.Output()
-			if err != nil || len(out) != 16 {
-				t.Fatalf("%v %q", err, out)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			var hashes []string
+			for _, procs := range []string{"1", "4"} {
+				cmd := exec.Command(os.Args[0])
+				cmd.Env = append(os.Environ(), fmt.Sprintf("%s=%d", hashEnv, seed), "GOMAXPROCS="+procs)
+				out, err := cmd.Output()
+				if err != nil || len(out) != 16 {
+					t.Fatalf("%v %q", err, out)
+				}
+				hashes = append(hashes, string(out))
 			}
-			hashes = append(hashes, string(out))
-		}
-		if hashes[0] != hashes[1] {
-			t.Errorf("seed %d: %v", seed, hashes)
-		}
+			if hashes[0] != hashes[1] {
+				t.Errorf("%v", hashes)
+			}
+		})
 	}
 }
 
@@ -92,6 +95,7 @@
 type defect struct {
 	loop.Reducer
 	n       int
+	now     time.Duration
 	hear    func(d *defect, e *loop.Event) bool // false drops the event
 	effects func(d *defect, e loop.Event, list []loop.Effect) []loop.Effect
 }
@@ -100,6 +104,7 @@
 	if d.hear != nil && !d.hear(d, &e) {
 		return nil
 	}
+	d.now = now
 	list := d.Reducer.Step(now, e)
 	if d.effects == nil {
 		return list
@@ -175,8 +180,8 @@
 			return e.Kind != loop.Data || !bytes.Contains(e.Data, []byte(`"draining"`))
 		}}},
 		{"a timer that never stops", "reload", NotAsleep, defect{effects: func(d *defect, e loop.Event, list []loop.Effect) []loop.Effect {
-			if e.Kind == loop.Turn {
-				list = append(list, loop.Effect{Op: loop.Again})
+			if e.Kind == loop.Start || e.Kind == loop.TimerDue && e.Timer.Kind == 200 {
+				list = append(list, loop.Effect{Op: loop.SetTimer, Timer: loop.Timer{Kind: 200}, At: d.now + 5*time.Millisecond})
 			}
 			return list
 		}}},
