Word the excuse for crashes once, beside the comparison

Cause: experiment/world.go and virtual/world.go held the same rule of what a kill or a SIGTERM excuses. Change: ledger.Try.Excuses holds it.

--- a/internal/lab/experiment/world.go
+++ b/internal/lab/experiment/world.go
@@ -22,7 +22,6 @@
 // The rules in figures.
 const (
 	drainGrace = 300 * time.Millisecond // 250 ms, and 50 ms as for every time limit on sockets
-	lateTaken  = 700 * time.Millisecond // what comes later than this after SIGTERM need not be answered
 	killAfter  = 700 * time.Millisecond // after SIGTERM and the longest patience
 	leaveFront = 300 * time.Millisecond // the front sends on for so long after SIGTERM
 	readyWait  = 15 * time.Second
@@ -403,16 +402,7 @@
 		}
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		for _, k := range g.kills {
-			if t.Sent <= k+killSpread && t.Ended >= k-killSpread {
-				return true
-			}
-		}
-		for _, s := range g.stops {
-			if t.Sent >= s+lateTaken && t.Sent <= s+10*time.Second {
-				return true
-			}
-		}
+		return t.Excuses(g.kills, g.stops, killSpread)
 	}
 	return false
 }
--- a/internal/lab/ledger/ledger.go
+++ b/internal/lab/ledger/ledger.go
@@ -144,6 +144,16 @@
 	Detail string        `json:"detail"`
 }
 
+// lateTaken is how long after SIGTERM a gateway still has to answer what comes.
+const lateTaken = 700 * time.Millisecond
+
+// Excuses tells whether a try was lost for a reason that no rule forbids: its gateway was killed while it held the
+// try, or the try came long after SIGTERM. News of a kill may take the spread to be seen.
+func (t Try) Excuses(kills, stops []time.Duration, spread time.Duration) bool {
+	return slices.ContainsFunc(kills, func(k time.Duration) bool { return t.Sent <= k+spread && t.Ended >= k-spread }) ||
+		slices.ContainsFunc(stops, func(s time.Duration) bool { return t.Sent >= s+lateTaken && t.Sent <= s+10*time.Second })
+}
+
 // Compare sets the clients' ledger against the hosts'. excused tells which unanswered tries were lost for a
 // reason that no rule forbids, as with a gateway that was killed; the number of those is returned. The hosts'
 // ledgers must be at rest.
--- a/internal/lab/virtual/world.go
+++ b/internal/lab/virtual/world.go
@@ -33,7 +33,6 @@
 const (
 	drainGrace = 300 * time.Millisecond
 	leaveFront = 300 * time.Millisecond
-	lateTaken  = 700 * time.Millisecond
 	killSpread = 5 * time.Millisecond // and what news of the kill may take
 	quietFor   = 8 * time.Second      // of nothing at the end of the day
 	mostRounds = 40                   // of a gateway in the last half of that: beats, and the module's own
@@ -342,16 +341,7 @@
 		if m.name != t.Target {
 			continue
 		}
-		for _, k := range m.kills {
-			if t.Sent <= k+spread && t.Ended >= k-spread {
-				return true
-			}
-		}
-		for _, s := range m.stops {
-			if t.Sent >= s+lateTaken && t.Sent <= s+10*time.Second {
-				return true
-			}
-		}
+		return t.Excuses(m.kills, m.stops, spread)
 	}
 	return false
 }
