Serve a second address with readiness and figures; take new settings at SIGHUP

Change: the loop opens listening sockets as effects, the operators' one urgent; internal/operators holds its links; figures are counted where a query or an execution ends.

--- a/api.go
+++ b/api.go
@@ -186,8 +186,8 @@
 	Log(line string)
 }
 
-// validate names the first field that cannot work.
-func (c *Config) validate() error {
+// Validate names the first field that cannot work.
+func (c *Config) Validate() error {
 	switch {
 	case c.Gateways < 1:
 		return fmt.Errorf("thymebend: Gateways is %d, must be at least 1", c.Gateways)
--- a/balancer.go
+++ b/balancer.go
@@ -120,6 +120,8 @@
 	patience time.Duration // of most requests: of first tries
 	noRoom   [2]bool       // seen in this Dispatch, see pick
 	agreed   int           // how many more had it lately than had not
+	open     int           // requests not yet forgotten
+	retired  time.Duration // no longer in the settings since then; 0 if it is
 }
 
 // tenantState is a token bucket of a tenant's share at this gateway.
@@ -199,7 +201,7 @@
 
 // New starts a balancer. It may act at once.
 func New(cfg Config, seed uint64, now time.Duration, out Actions) (*Balancer, error) {
-	if err := cfg.validate(); err != nil {
+	if err := cfg.Validate(); err != nil {
 		return nil, err
 	}
 	cfg.Tick = cmp.Or(cfg.Tick, time.Millisecond)
@@ -212,10 +214,7 @@
 	for _, c := range cfg.Classes {
 		b.classes = append(b.classes, classState{Class: c})
 	}
-	for _, t := range cfg.Tenants {
-		rate := t.Quota / float64(cfg.Gateways)
-		b.tenants = append(b.tenants, tenantState{rate: rate, tokens: rate, at: now})
-	}
+	b.setTenants()
 	b.setHolds()
 	b.out.Wake(period, tokenSample)
 	if cfg.AskForList {
@@ -244,6 +243,7 @@
 	r.over = b.overShare(in.Tenant)
 	b.requests[in.ID] = r
 	b.classes[in.Class].arrivals++
+	b.classes[in.Class].open++
 	b.retryTokens = min(b.retryTokens+retryShare, retryBurst)
 	b.hold(r)
 }
@@ -536,8 +536,7 @@
 // split of the aim leaves less than the bare work takes.
 func (b *Balancer) setpoint(s *server) float64 {
 	least := math.Inf(1)
-	for i := range b.classes {
-		c := &b.classes[i]
+	for c := range b.current {
 		least = min(least, ms(c.Aim)/b.weight(c))
 	}
 	return max((1-gamma)*b.response*least, crowding*s.base)
@@ -555,8 +554,8 @@
 // more in one class than another would look like servers getting slower.
 func (b *Balancer) averageClass() float64 {
 	var all average
-	for i := range b.classes {
-		if c := &b.classes[i]; c.service.n >= baseSamples {
+	for c := range b.current {
+		if c.service.n >= baseSamples {
 			all.add(c.service.mean, 0)
 		}
 	}
@@ -706,11 +705,12 @@
 }
 
 func (b *Balancer) meanAim() time.Duration {
-	var sum time.Duration
-	for i := range b.classes {
-		sum += b.classes[i].Aim
+	var sum, n time.Duration
+	for c := range b.current {
+		sum += c.Aim
+		n++
 	}
-	return sum / time.Duration(len(b.classes))
+	return sum / n
 }
 
 // coldness is the share of its capacity that s surely has: rising evenly from the stated share at its start.
@@ -911,6 +911,7 @@
 func (b *Balancer) release(r *request) {
 	if r.done && r.open == 0 && !r.queued {
 		delete(b.requests, r.ID)
+		b.classes[r.Class].open--
 		b.free = append(b.free, r)
 	}
 }
@@ -1009,8 +1010,8 @@
 		for over, share := range [2]float64{1, b.cfg.OverShareWorth} {
 			density := c.density * share
 			limit := b.lateLimit(c)
-			for j := range b.classes {
-				if d := &b.classes[j]; d.density > density {
+			for d := range b.current {
+				if d.density > density {
 					limit = min(limit, b.lateLimit(d))
 				}
 			}
@@ -1026,12 +1027,11 @@
 // work it takes, and returns the most. The class served worst has a weight of its own: without it, work of
 // little worth would bear the whole of a shortage.
 func (b *Balancer) setDensities() float64 {
-	worth := 0.0
-	worst := &b.classes[0]
-	for i := range b.classes {
-		c := &b.classes[i]
+	var worth float64
+	var worst *classState
+	for c := range b.current {
 		worth += (c.arrivals + 1) * b.worth(c)
-		if c.served.n > 0 && (worst.served.n == 0 || c.served.mean < worst.served.mean) {
+		if worst == nil || c.served.n > 0 && (worst.served.n == 0 || c.served.mean < worst.served.mean) {
 			worst = c
 		}
 	}
--- a/cmd/thymebend/life_test.go
+++ b/cmd/thymebend/life_test.go
@@ -248,7 +248,7 @@
 		"limits.memory_mb":     {"limits": map[string]any{"cores": 1, "sockets": 1024}},
 		"classes.count":        {"settings": settingsWith(`"classes"`, `"unknown"`)},
 		"classes.1.give_up_ms": {"settings": settingsWith(`"give_up_ms":2500`, `"give_up_ms":"long"`)},
-		"Deadline":             {"settings": settingsWith(`"give_up_ms":2500`, `"give_up_ms":0`)},
+		"number above 0":       {"settings": settingsWith(`"give_up_ms":2500`, `"give_up_ms":0`)},
 	} {
 		cmd, _ := configure(t, list(1, true), "127.0.0.1:1", edit)
 		out, err := cmd.CombinedOutput()
--- a/cmd/thymebend/main.go
+++ b/cmd/thymebend/main.go
@@ -38,7 +38,7 @@
 	log = log.With().Str("name", cfg.Name).Logger()
 	runtime.GOMAXPROCS(int(max(1, math.Floor(cfg.Limits.Cores))))
 	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB * heapShare * (1 << 20)))
-	l, err := loop.New(loop.NewClock(), cfg.Listen)
+	l, err := loop.New(loop.NewClock())
 	if err != nil {
 		return err
 	}
--- a/internal/clients/link.go
+++ b/internal/clients/link.go
@@ -61,7 +61,7 @@
 }
 
 // Next returns what the client asks next, once it is whole.
-func (l *Link) Next(classes []thymebend.Class) (asked Asked, whole bool) {
+func (l *Link) Next(classes Classes) (asked Asked, whole bool) {
 	m, fault := l.reader.Next()
 	switch {
 	case fault != nil:
--- a/internal/clients/query.go
+++ b/internal/clients/query.go
@@ -23,35 +23,46 @@
 // mostPatience bounds what a client may state. No class of any deployment waits longer.
 const mostPatience = time.Hour
 
+// Class is what a request's class means here.
+type Class struct {
+	Name   string
+	Place  int    // the module's
+	Method string // that its requests have
+}
+
+// Classes finds a class by the name and the method of a request.
+type Classes func(name, method string) (Class, bool)
+
+// MethodOf is the method of the requests of an effect.
+func MethodOf(e thymebend.Effect) string {
+	if e == thymebend.Safe {
+		return "GET"
+	}
+	return "POST"
+}
+
 // Query is a valid request of a client.
 type Query struct {
 	ID       string // the client's, unique among what is open
-	Class    int
+	Class    Class
 	Patience time.Duration
 	Repeat   bool // the client marks it as a repeat
 	Message  *http1.Message
 }
 
 // read checks a request against the classes. What it refuses never reaches the module nor a host.
-func read(m *http1.Message, classes []thymebend.Class) (Query, *http1.Fault) {
-	q := Query{Message: m, Class: -1}
+func read(m *http1.Message, classes Classes) (Query, *http1.Fault) {
+	q := Query{Message: m}
 	path, _, _ := strings.Cut(m.Target, "?")
 	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
-	for i := range classes {
-		if classes[i].Name == first {
-			q.Class = i
-		}
-	}
-	if q.Class < 0 {
+	var known bool
+	if q.Class, known = classes(first, m.Method); !known {
 		return q, &http1.Fault{Status: 404, Text: "no such path"}
 	}
 	if stated, times := m.Get(fieldClass); times != 1 || stated != first {
 		return q, bad(fieldClass + " must name the class of the path")
 	}
-	method := "GET"
-	if classes[q.Class].Effect != thymebend.Safe {
-		method = "POST"
-	}
+	method := q.Class.Method
 	if m.Method != method {
 		return q, bad("the class needs method " + method)
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 
 	"thymebend/internal/settings"
@@ -16,12 +17,14 @@
 type Config struct {
 	Name      string
 	Listen    netip.AddrPort
+	Control   netip.AddrPort // the operators' address; not valid where there is none
 	Discovery netip.AddrPort
 	Seed      uint64
 	Limits    Limits
 	Known     json.RawMessage // the host list as last had, in discovery's form; may be empty
 	Settings  settings.Settings
-	Path      string // of the file, to be read again at a reload
+	Path      string   // of the file, to be read again at a reload
+	fields    []string // what the file holds at its top
 }
 
 // Limits are those of the machine.
@@ -48,21 +51,37 @@
 		return Config{}, fmt.Errorf("LB_CONFIG: %w", err)
 	}
 	told := Config{Name: getenv("LB_NAME"), Path: path}
-	return told.read(raw, getenv("LB_LISTEN"), getenv("LB_DISCOVERY"))
+	return told.read(raw, getenv("LB_LISTEN"), getenv("LB_CONTROL"), getenv("LB_DISCOVERY"))
 }
 
-// Reload reads the file's new text. The program keeps its name and its listening socket; discovery is the
-// file's alone, for the environment still tells what the file has replaced.
+// Reload reads the file's new text. The program keeps its name and its listening sockets; discovery is the
+// file's alone, for the environment still tells what the file has replaced. A file that lacks what the one in force
+// has was most likely read half written, and is refused whole.
 func (c Config) Reload(raw []byte) (Config, error) {
-	return Config{Name: c.Name, Path: c.Path}.read(raw, c.Listen.String(), "")
+	control := ""
+	if c.Control.IsValid() {
+		control = c.Control.String()
+	}
+	fresh, err := Config{Name: c.Name, Path: c.Path}.read(raw, c.Listen.String(), control, "")
+	if err != nil {
+		return fresh, err
+	}
+	fresh.Control = c.Control // a listening socket is opened at the start only
+	for _, field := range c.fields {
+		if !slices.Contains(fresh.fields, field) {
+			return fresh, fmt.Errorf("%s is missing, the file in force has it", field)
+		}
+	}
+	return fresh, c.Settings.Lacking(fresh.Settings)
 }
 
 // read takes a file's text. What is told beside it goes first where both tell the same.
-func (c Config) read(raw []byte, listen, discovery string) (Config, error) {
+func (c Config) read(raw []byte, listen, control, discovery string) (Config, error) {
 	var err error
 	var file struct {
 		Name      string          `json:"name"`
 		Listen    string          `json:"listen"`
+		Control   string          `json:"control"`
 		Discovery string          `json:"discovery"`
 		Seed      string          `json:"seed"`
 		Limits    Limits          `json:"limits"`
@@ -72,6 +91,16 @@
 	if err := json.Unmarshal(raw, &file); err != nil {
 		return c, fmt.Errorf("LB_CONFIG: %s: %w", c.Path, err)
 	}
+	all := map[string]json.RawMessage{}
+	if err := json.Unmarshal(raw, &all); err != nil {
+		return c, fmt.Errorf("LB_CONFIG: %s: %w", c.Path, err)
+	}
+	for field, value := range all {
+		if string(value) != "null" {
+			c.fields = append(c.fields, field)
+		}
+	}
+	slices.Sort(c.fields)
 	c.Name, c.Limits, c.Known = either(c.Name, file.Name), file.Limits, file.Known
 	if c.Name == "" {
 		return c, fmt.Errorf("name is missing (LB_NAME)")
@@ -79,6 +108,11 @@
 	if c.Listen, err = address("listen", either(listen, file.Listen)); err != nil {
 		return c, err
 	}
+	if text := either(control, file.Control); text != "" {
+		if c.Control, err = address("control", text); err != nil {
+			return c, err
+		}
+	}
 	if c.Discovery, err = address("discovery", either(discovery, file.Discovery)); err != nil {
 		return c, err
 	}
@@ -91,8 +125,10 @@
 	if len(file.Settings) == 0 {
 		return c, fmt.Errorf("settings is missing")
 	}
-	c.Settings, err = settings.ParseJSON(file.Settings)
-	return c, err
+	if c.Settings, err = settings.ParseJSON(file.Settings); err != nil {
+		return c, err
+	}
+	return c, c.Settings.Config.Validate()
 }
 
 func (l Limits) check() error {
--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -36,26 +36,27 @@
 
 // Refuse implements thymebend.Actions. A refusal goes out at once.
 func (g *Gateway) Refuse(id thymebend.RequestID, after time.Duration) {
-	if q, l := g.finish(id); l != nil {
+	if q, l := g.finish(id, throttled); l != nil {
 		g.answer(q, l, clients.Refused(after, !l.Closing))
 	}
 }
 
 // Fail implements thymebend.Actions.
 func (g *Gateway) Fail(id thymebend.RequestID) {
-	if q, l := g.finish(id); l != nil {
+	if q, l := g.finish(id, faulted); l != nil {
 		g.answer(q, l, clients.Failed(!l.Closing))
 	}
 }
 
 // finish concludes a query and returns the link on which its answer goes out, if the client is still there.
-func (g *Gateway) finish(id thymebend.RequestID) (*query, *clients.Link) {
+func (g *Gateway) finish(id thymebend.RequestID, r result) (*query, *clients.Link) {
 	q := g.queries[id]
 	if q == nil || q.over {
 		return nil, nil
 	}
 	q.over = true
 	delete(g.open, q.ID)
+	g.settle(q.Class.Name, r)
 	g.forget(q)
 	return q, g.links.ByConn[q.client]
 }
--- a/internal/gateway/fromclients.go
+++ b/internal/gateway/fromclients.go
@@ -13,6 +13,9 @@
 
 func (g *Gateway) listener(e loop.Event) {
 	switch e.Kind {
+	case loop.Listening:
+		g.listening = true
+		g.log.Info().Stringer("listen", g.cfg.Listen).Msg("taking clients")
 	case loop.Readable:
 		if !g.closed && len(g.links.ByConn) >= g.links.Most && !g.evict() {
 			g.pause()
@@ -71,7 +74,7 @@
 	return idle != nil
 }
 
-func (g *Gateway) accepted(c loop.Conn) {
+func (g *Gateway) clientCame(c loop.Conn) {
 	g.links.Add(c, g.now)
 	patience := clients.RequestWithin
 	if g.closed {
@@ -109,7 +112,7 @@
 // advance takes the next request of a link, if it is whole and none is in work.
 func (g *Gateway) advance(l *clients.Link) {
 	for !l.Busy && !l.Ended {
-		asked, whole := l.Next(g.cfg.Settings.Config.Classes)
+		asked, whole := l.Next(g.classOf)
 		if !whole {
 			g.awaitRest(l)
 			return
@@ -143,6 +146,9 @@
 	l.Timed, l.Asked = false, true
 	switch {
 	case asked.Fault != nil:
+		if asked.Query.Class.Name != "" {
+			g.settle(asked.Query.Class.Name, faulted)
+		}
 		g.reply(l, clients.Faulty(asked.Fault, !l.Closing))
 		return
 	case asked.Health:
@@ -150,9 +156,11 @@
 		return
 	case g.open[asked.Query.ID]:
 		// Two queries of one id could not be told apart at a host: the second would run in the first one's name.
+		g.settle(asked.Query.Class.Name, faulted)
 		g.reply(l, clients.Taken(!l.Closing))
 		return
 	case len(g.queries) >= g.cfg.Settings.Gateway.MostOpen:
+		g.settle(asked.Query.Class.Name, throttled)
 		g.reply(l, clients.Refused(g.cfg.Settings.Config.MaxRetryAfter, !l.Closing))
 		return
 	}
@@ -164,7 +172,7 @@
 	g.open[read.ID] = true
 	l.Busy, l.Served, l.Query = true, true, q.id
 	g.told = true
-	g.module.Request(g.now, thymebend.Request{ID: q.id, Class: read.Class, Patience: read.Patience,
+	g.module.Request(g.now, thymebend.Request{ID: q.id, Class: read.Class.Place, Patience: read.Patience,
 		Repeat: read.Repeat})
 }
 
@@ -249,6 +257,7 @@
 	}
 	q.over, q.client = true, 0
 	delete(g.open, q.ID)
+	g.settle(q.Class.Name, faulted) // the client has left; it may stand under any count
 	g.told = true
 	g.module.Lapsed(g.now, q.id)
 	for _, x := range append([]*execution(nil), q.executions...) {
--- a/internal/gateway/fromlist.go
+++ b/internal/gateway/fromlist.go
@@ -29,18 +29,26 @@
 	return nil
 }
 
-// reload takes the configuration's new text. Discovery may have moved; the rest is fixed at the start. A
+// reload takes the configuration's new text: where discovery is and the settings; the rest is fixed at the start. A
 // faulty file changes nothing: the program is worth more running as before.
 func (g *Gateway) reload(raw []byte, err error) {
 	fresh := g.cfg
 	if err == nil {
 		fresh, err = g.cfg.Reload(raw)
 	}
+	var places []int
+	if err == nil {
+		places, err = g.module.Reload(g.now, fresh.Settings.Config)
+	}
 	if err != nil {
+		g.invalid++
 		g.log.Error().Err(err).Msg("reload: configuration refused, all stays as it was")
 		return
 	}
-	g.log.Info().Stringer("discovery", fresh.Discovery).Msg("reload")
+	g.accepted++
+	g.told = true
+	g.retune(fresh.Settings, places)
+	g.log.Info().Stringer("discovery", fresh.Discovery).Int("classes", len(places)).Msg("reload")
 	if g.cfg.Discovery == fresh.Discovery {
 		return
 	}
--- /dev/null
+++ b/internal/gateway/fromoperators.go
@@ -0,0 +1,138 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+
+	"thymebend/internal/loop"
+	"thymebend/internal/operators"
+)
+
+// tally is what the operators are told of one class.
+type tally struct{ fulfilled, throttled, faulted int64 }
+
+// mostTallies bounds the classes counted, with those that have left the settings.
+const mostTallies = 256
+
+// result is how a query ended for its client.
+type result uint8
+
+const (
+	fulfilled result = iota
+	throttled
+	faulted
+)
+
+// settle counts the end of a query. Every final answer passes here, once.
+func (g *Gateway) settle(class string, r result) {
+	t := g.tally(class)
+	switch r {
+	case fulfilled:
+		t.fulfilled++
+	case throttled:
+		t.throttled++
+	default:
+		t.faulted++
+	}
+}
+
+func (g *Gateway) tally(class string) *tally {
+	t := g.tallies[class]
+	if t == nil {
+		t = &tally{}
+		g.tallies[class] = t
+	}
+	return t
+}
+
+// countClasses makes every class of the settings count from its first moment. Guards against memory that grows with
+// reloads: with too many names, those that have left are forgotten.
+func (g *Gateway) countClasses() {
+	if len(g.tallies) > mostTallies {
+		kept := make(map[string]*tally)
+		for _, c := range g.cfg.Settings.Config.Classes {
+			kept[c.Name] = g.tally(c.Name)
+		}
+		g.tallies = kept
+	}
+	for _, c := range g.cfg.Settings.Config.Classes {
+		g.tally(c.Name)
+	}
+}
+
+func (g *Gateway) figures() operators.Figures {
+	f := operators.Figures{Fulfilled: make(map[string]int64), Throttled: make(map[string]int64), Faulted: make(map[string]int64),
+		Relayed: g.relayed, Open: len(g.open), Entries: g.group.Len(), Accepted: g.accepted, Invalid: g.invalid}
+	for _, name := range slices.Sorted(maps.Keys(g.tallies)) {
+		t := g.tallies[name]
+		f.Fulfilled[name], f.Throttled[name], f.Faulted[name] = t.fulfilled, t.throttled, t.faulted
+	}
+	if g.module != nil {
+		f.OutOfRotation = g.module.Avoided()
+	}
+	return f
+}
+
+func (g *Gateway) controlListener(e loop.Event) {
+	switch e.Kind {
+	case loop.Readable:
+		g.ask(loop.Effect{Op: loop.Accept, Conn: loop.Control})
+	case loop.AcceptFailed:
+		g.log.Warn().Err(e.Err).Msg("accept of an operator")
+	}
+}
+
+func (g *Gateway) operatorCame(c loop.Conn) {
+	if out := g.ops.Add(c); out != nil {
+		g.dropOperator(out)
+	}
+	g.setTimer(timerOperator, uint64(c), g.now+operators.CallWithin)
+}
+
+func (g *Gateway) operatorEvent(l *operators.Link, e loop.Event) {
+	switch e.Kind {
+	case loop.Readable:
+		g.ask(loop.Effect{Op: loop.Read, Conn: l.Conn})
+	case loop.Data:
+		if l.Answered {
+			return // one call a connection
+		}
+		call, answer := l.Feed(e.Data)
+		switch call {
+		case operators.None:
+			return
+		case operators.Readiness:
+			answer = operators.Ready(g.ready(), g.unready())
+		case operators.Stats:
+			answer = g.figures().Words()
+		}
+		l.Answered = true
+		g.setTimer(timerOperator, uint64(l.Conn), g.now+operators.CallWithin)
+		g.write(l.Conn, answer)
+	case loop.Flushed:
+		// Only the sending ends: a close with bytes unread would reset the link and could take the answer away.
+		if l.Answered && !l.Ended {
+			l.Ended = true
+			g.ask(loop.Effect{Op: loop.Shutdown, Conn: l.Conn})
+			g.setTimer(timerOperator, uint64(l.Conn), g.now+operators.LingerFor)
+		}
+	case loop.EOF, loop.Broken:
+		g.dropOperator(l)
+	}
+}
+
+// ready reports whether this process takes clients.
+func (g *Gateway) ready() bool { return g.listening && !g.stopping }
+
+func (g *Gateway) unready() string {
+	if g.stopping {
+		return "stopping"
+	}
+	return "starting"
+}
+
+func (g *Gateway) dropOperator(l *operators.Link) {
+	g.stopTimer(timerOperator, uint64(l.Conn))
+	g.ops.Remove(l)
+	g.close(l.Conn)
+}
--- a/internal/gateway/fromservers.go
+++ b/internal/gateway/fromservers.go
@@ -61,6 +61,7 @@
 	case loop.Flushed:
 		if l.Phase == servers.Writing {
 			l.Phase = servers.Awaiting
+			g.relayed++
 		}
 	case loop.Stale:
 		// Nothing was written. The host closed this link while it was idle; the next one may be better.
@@ -128,6 +129,7 @@
 	if end == EndServed && !q.over {
 		q.over = true
 		delete(g.open, q.ID)
+		g.settle(q.Class.Name, fulfilled)
 		if c := g.links.ByConn[q.client]; c != nil {
 			g.answer(q, c, clients.Served(a.Passed(), a.Body, !c.Closing))
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"thymebend/internal/config"
 	"thymebend/internal/hostgroup"
 	"thymebend/internal/loop"
+	"thymebend/internal/operators"
 	"thymebend/internal/servers"
 )
 
@@ -26,12 +27,13 @@
 	timerAccept
 	timerStop
 	timerMove
+	timerOperator
 )
 
 // The budget of descriptors: a few are the program's own, the rest is shared out, so that neither a crowd of
 // clients nor slow hosts can take what the other side needs.
 const (
-	ownSockets  = 24
+	ownSockets  = 18 + operators.MostLinks
 	clientShare = 0.65
 )
 
@@ -86,6 +88,16 @@
 	byID     map[uint64]*execution
 	nextExec uint64
 
+	places   []int               // of the settings' classes in the module
+	former   map[string]formerly // classes that changed lately
+	tallies  map[string]*tally   // by class
+	relayed  int64               // requests written whole to hosts
+	accepted int                 // configurations taken at a reload
+	invalid  int                 // and turned down
+
+	ops       operators.Links
+	listening bool // clients can connect
+
 	links    *clients.Links
 	pool     *servers.Pool
 	group    *hostgroup.Group
@@ -104,6 +116,7 @@
 	return &Gateway{
 		cfg: cfg, log: log,
 		queries: make(map[thymebend.RequestID]*query), open: make(map[string]bool),
+		former: make(map[string]formerly), tallies: make(map[string]*tally),
 		byLink: make(map[loop.Conn]*execution), byID: make(map[uint64]*execution),
 		links: clients.NewLinks(inbound), pool: servers.NewPool(int(sockets) - inbound),
 		group: hostgroup.New(cfg.Settings.Gateway.Zones),
@@ -167,6 +180,14 @@
 		return
 	}
 	g.module = module
+	for i := range g.cfg.Settings.Config.Classes {
+		g.places = append(g.places, i)
+	}
+	g.countClasses()
+	if g.cfg.Control.IsValid() {
+		g.ask(loop.Effect{Op: loop.Listen, Conn: loop.Control, Addr: g.cfg.Control, Urgent: true})
+	}
+	g.ask(loop.Effect{Op: loop.Listen, Conn: loop.Listener, Addr: g.cfg.Listen})
 	g.told = true
 	if len(g.cfg.Known) == 0 {
 		g.module.List(g.now, thymebend.ListCached, nil)
@@ -181,12 +202,26 @@
 
 // socket hands the news of a socket to the peer that it belongs to. A socket that no peer knows was closed.
 func (g *Gateway) socket(e loop.Event) {
-	if e.Conn == loop.Listener {
+	switch {
+	case e.Kind == loop.Accepted && e.Via == loop.Control:
+		g.operatorCame(e.Conn)
+		return
+	case e.Kind == loop.Accepted:
+		g.clientCame(e.Conn)
+		return
+	case (e.Conn == loop.Listener || e.Conn == loop.Control) && e.Kind == loop.Broken:
+		g.log.Error().Err(e.Err).Msg("listen")
+		g.ask(loop.Effect{Op: loop.Exit, Failed: e.Err})
+		return
+	case e.Conn == loop.Listener:
 		g.listener(e)
 		return
+	case e.Conn == loop.Control:
+		g.controlListener(e)
+		return
 	}
-	if e.Kind == loop.Accepted {
-		g.accepted(e.Conn)
+	if l := g.ops.Find(e.Conn); l != nil {
+		g.operatorEvent(l, e)
 		return
 	}
 	if w := g.watchOn(e.Conn); w != nil {
@@ -225,6 +260,10 @@
 		if g.watch == nil || g.watch.Addr != g.cfg.Discovery {
 			g.move()
 		}
+	case timerOperator:
+		if l := g.ops.Find(loop.Conn(t.ID)); l != nil {
+			g.dropOperator(l)
+		}
 	case timerAccept:
 		g.resume()
 	case timerStop:
--- /dev/null
+++ b/internal/gateway/reload.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"thymebend"
+	"thymebend/internal/clients"
+	"thymebend/internal/settings"
+)
+
+// formerFor is how long requests worded for a class as it was before it changed are still taken.
+const formerFor = 3 * time.Second
+
+// formerly is a class as it was before the last change of its effect.
+type formerly struct {
+	class thymebend.Class
+	place int
+	until time.Duration
+}
+
+// retune takes new settings that the module has taken, with the places of their classes.
+func (g *Gateway) retune(fresh settings.Settings, places []int) {
+	for _, name := range slices.Sorted(maps.Keys(g.former)) {
+		if g.now >= g.former[name].until {
+			delete(g.former, name)
+		}
+	}
+	for i, old := range g.cfg.Settings.Config.Classes {
+		for _, c := range fresh.Config.Classes {
+			if c.Name == old.Name && c.Effect != old.Effect {
+				g.former[c.Name] = formerly{class: old, place: g.places[i], until: g.now + formerFor}
+			}
+		}
+	}
+	// Sites keep the numbers that they have: hosts and the module know them by these.
+	fresh.Gateway.Zones = g.cfg.Settings.Gateway.Zones
+	g.cfg.Settings, g.places = fresh, places
+	g.countClasses()
+}
+
+// classOf finds the class that a request names, as its method words it. Just after a class has changed its effect,
+// requests worded for the old one still come; the stricter of the two effects holds for them.
+func (g *Gateway) classOf(name, method string) (clients.Class, bool) {
+	for i, c := range g.cfg.Settings.Config.Classes {
+		if c.Name != name {
+			continue
+		}
+		found := clients.Class{Name: name, Place: g.places[i], Method: clients.MethodOf(c.Effect)}
+		if f, ok := g.former[name]; ok && g.now < f.until && method == clients.MethodOf(f.class.Effect) && method != found.Method {
+			found.Method = method
+			if f.class.Effect > c.Effect {
+				found.Place = f.place
+			}
+		}
+		return found, true
+	}
+	return clients.Class{}, false
+}
--- a/internal/http1/write.go
+++ b/internal/http1/write.go
@@ -56,6 +56,8 @@
 		return "Bad Request"
 	case 404:
 		return "Not Found"
+	case 405:
+		return "Method Not Allowed"
 	case 408:
 		return "Request Timeout"
 	case 413:
--- a/internal/lab/virtual/conform_test.go
+++ b/internal/lab/virtual/conform_test.go
@@ -320,19 +320,25 @@
 			p.conns <- conn
 		}
 	}()
-	l, err := loop.New(loop.NewClock(), at)
+	l, err := loop.New(loop.NewClock())
 	if err != nil {
 		t.Fatal(err)
 	}
 	l.Notify(syscall.SIGUSR1, syscall.SIGUSR2)
-	quit := make(chan bool)
+	quit, listening := make(chan bool), make(chan bool)
 	s := &script{names: make(map[loop.Conn]string)}
 	inner := c.on(p)
 	s.on = func(s *script, now time.Duration, e loop.Event) []loop.Effect {
 		var list []loop.Effect
+		if e.Kind == loop.Listening {
+			close(listening)
+		}
 		if e.Timer.Kind != 9 {
 			list = inner(s, now, e)
 		}
+		if e.Kind == loop.Start {
+			list = append([]loop.Effect{{Op: loop.Listen, Conn: loop.Listener, Addr: at}}, list...)
+		}
 		select {
 		case <-quit:
 			list = append(list, loop.Effect{Op: loop.Exit})
@@ -346,6 +352,7 @@
 	}
 	done := make(chan error, 1)
 	go func() { done <- l.Run(s) }()
+	<-listening
 	var want []string
 	told := func() []string {
 		return slices.DeleteFunc(s.told(), func(x string) bool { return x == "timer 99" })
@@ -428,8 +435,14 @@
 	p := &virtualPeer{sim: sim, net: n, at: at}
 	var ln *Listener
 	ln = n.Listen(netip.AddrPortFrom(p.addr(), p.port()), 16, nil, func() { p.last = ln.Accept(); p.watch() })
-	l := NewLoop(sim, n, at, nil, func(error) {})
-	s := &script{names: make(map[loop.Conn]string), on: c.on(p)}
+	l := NewLoop(sim, n, nil, func(error) {})
+	inner := c.on(p)
+	s := &script{names: make(map[loop.Conn]string), on: func(s *script, now time.Duration, e loop.Event) []loop.Effect {
+		if e.Kind == loop.Start {
+			return append([]loop.Effect{{Op: loop.Listen, Conn: loop.Listener, Addr: at}}, inner(s, now, e)...)
+		}
+		return inner(s, now, e)
+	}}
 	p.loop = l
 	l.Run(s)
 	var want []string
--- a/internal/lab/virtual/loop.go
+++ b/internal/lab/virtual/loop.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"container/heap"
 	"fmt"
-	"net/netip"
+	"maps"
 	"os"
 	"slices"
 	"time"
@@ -48,7 +48,7 @@
 	Cost    time.Duration // processor time of one event
 	Partial float64       // chance that a read brings less than has come
 
-	listener *Listener
+	ports    map[loop.Conn]*port
 	socks    map[loop.Conn]*socket
 	hot      []*socket // those that may be ready
 	accepted loop.Conn
@@ -67,25 +67,41 @@
 	asleep   bool
 	rounds   uint64
 	silent   *bool
-	lmuted   bool
-	lsince   uint64
 	onExit   func(error)
 }
 
-// NewLoop starts a process whose listener is at an address.
-func NewLoop(sim *Sim, net *Net, at netip.AddrPort, silent *bool, onExit func(error)) *Loop {
-	l := &Loop{sim: sim, net: net, socks: make(map[loop.Conn]*socket), accepted: firstAccepted, byKey: make(map[loop.Timer]*timer),
+// port is a listening socket.
+type port struct {
+	*Listener
+	conn   loop.Conn
+	urgent bool
+	muted  bool
+}
+
+// NewLoop starts a process.
+func NewLoop(sim *Sim, net *Net, silent *bool, onExit func(error)) *Loop {
+	return &Loop{sim: sim, net: net, socks: make(map[loop.Conn]*socket), accepted: firstAccepted, byKey: make(map[loop.Timer]*timer),
+		ports:  make(map[loop.Conn]*port),
 		silent: silent, onExit: onExit, Files: func(path string) ([]byte, error) { return nil, os.ErrNotExist }}
-	l.listener = net.Listen(at, backlog, silent, func() {
-		if l.lsince == 0 {
-			l.seq++
-			l.lsince = l.seq
-		}
-		l.wake(sim.Now())
-	})
-	return l
 }
 
+func (l *Loop) listen(f loop.Effect) {
+	if l.net.listeners[f.Addr] != nil {
+		l.tell(loop.Event{Kind: loop.Broken, Conn: f.Conn, Err: unix.EADDRINUSE})
+		return
+	}
+	l.ports[f.Conn] = &port{conn: f.Conn, urgent: f.Urgent,
+		Listener: l.net.Listen(f.Addr, backlog, l.silent, func() { l.wake(l.sim.Now()) })}
+	l.tell(loop.Event{Kind: loop.Listening, Conn: f.Conn})
+}
+
+// listening returns the open listening sockets in order.
+func (l *Loop) listening() []*port {
+	return slices.SortedFunc(maps.Values(l.ports), func(a, b *port) int { return cmp.Compare(a.conn, b.conn) })
+}
+
+func (p *port) isReady() bool { return !p.closed && !p.muted && len(p.backlog) > 0 }
+
 // Run starts the reducer.
 func (l *Loop) Run(r loop.Reducer) {
 	l.reducer = r
@@ -110,7 +126,9 @@
 }
 
 func (l *Loop) closeAll() {
-	l.listener.Close()
+	for _, p := range l.listening() {
+		p.Close()
+	}
 	for _, s := range l.ordered() {
 		s.end.ready = nil
 		s.end.Close()
@@ -174,7 +192,7 @@
 }
 
 func (l *Loop) listenerReady() bool {
-	return !l.listener.closed && !l.lmuted && len(l.listener.backlog) > 0
+	return slices.ContainsFunc(l.listening(), (*port).isReady)
 }
 
 // isReady is what epoll would report: readable, writable with something to write, or broken.
@@ -219,7 +237,12 @@
 	l.rounds++
 	l.again = false
 	list := l.ready()
-	waiting := l.listenerReady()
+	var waiting []*port
+	for _, p := range l.listening() {
+		if p.isReady() {
+			waiting = append(waiting, p)
+		}
+	}
 	if len(list) >= mostReady {
 		list = list[:mostReady]
 	}
@@ -235,9 +258,11 @@
 			l.signals = nil
 			l.drain()
 		}
-		if !urgent && waiting && l.listenerReady() {
-			l.tell(loop.Event{Kind: loop.Readable, Conn: loop.Listener})
-			l.drain()
+		for _, p := range waiting {
+			if p.urgent == urgent && p.isReady() {
+				l.tell(loop.Event{Kind: loop.Readable, Conn: p.conn})
+				l.drain()
+			}
 		}
 		for _, s := range list {
 			if s.urgent == urgent && l.socks[s.conn] == s {
@@ -300,6 +325,9 @@
 	case loop.Dial:
 		l.dial(f)
 		return
+	case loop.Listen:
+		l.listen(f)
+		return
 	case loop.SetTimer:
 		l.setTimer(f.Timer, f.At)
 		return
@@ -320,8 +348,8 @@
 		l.exited, l.failed = true, f.Failed
 		return
 	}
-	if f.Conn == loop.Listener {
-		l.doListener(f)
+	if p := l.ports[f.Conn]; p != nil {
+		l.doPort(p, f)
 		return
 	}
 	s := l.socks[f.Conn]
@@ -352,34 +380,34 @@
 	}
 }
 
-func (l *Loop) doListener(f loop.Effect) {
+func (l *Loop) doPort(p *port, f loop.Effect) {
 	switch f.Op {
 	case loop.Accept:
-		if !l.listener.closed {
-			l.accept()
-		}
+		l.accept(p)
 	case loop.Close:
-		l.listener.Close()
+		p.Close()
+		delete(l.ports, p.conn)
 	case loop.Mute, loop.Unmute:
-		l.lmuted = f.Op == loop.Mute
+		p.muted = f.Op == loop.Mute
+		l.wake(l.sim.Now())
 	}
 }
 
 func (l *Loop) full() bool { return l.Sockets > 0 && len(l.socks)+ownFiles >= l.Sockets }
 
-func (l *Loop) accept() {
+func (l *Loop) accept(p *port) {
 	for range mostAccept {
-		if len(l.listener.backlog) == 0 {
-			l.tell(loop.Event{Kind: loop.Drained, Conn: loop.Listener})
+		if len(p.backlog) == 0 {
+			l.tell(loop.Event{Kind: loop.Drained, Conn: p.conn})
 			return
 		}
 		if l.full() {
-			l.tell(loop.Event{Kind: loop.AcceptFailed, Conn: loop.Listener, Err: unix.EMFILE})
+			l.tell(loop.Event{Kind: loop.AcceptFailed, Conn: p.conn, Err: unix.EMFILE})
 			return
 		}
 		l.accepted++
-		l.add(&socket{conn: l.accepted, end: l.listener.Accept()})
-		l.tell(loop.Event{Kind: loop.Accepted, Conn: l.accepted})
+		l.add(&socket{conn: l.accepted, end: p.Accept(), urgent: p.urgent})
+		l.tell(loop.Event{Kind: loop.Accepted, Conn: l.accepted, Via: p.conn})
 	}
 }
 
--- a/internal/lab/virtual/world.go
+++ b/internal/lab/virtual/world.go
@@ -249,7 +249,7 @@
 	m.up, m.left = true, false
 	m.life++
 	w.sim.Note("%s starts", m.name)
-	m.loop = NewLoop(w.sim, w.net, m.addr, nil, func(err error) {
+	m.loop = NewLoop(w.sim, w.net, nil, func(err error) {
 		m.up, m.died = false, w.sim.Now()
 		w.sim.Note("%s exits", m.name)
 		if err != nil {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"net/netip"
 	"os"
 	"os/signal"
 
@@ -52,8 +51,8 @@
 	failed   error
 }
 
-// New opens the loop and its listening socket.
-func New(clock Clock, listen netip.AddrPort) (*Loop, error) {
+// New opens the loop.
+func New(clock Clock) (*Loop, error) {
 	l := &Loop{clock: clock, byConn: make(map[Conn]*socket), byFD: make(map[int]*socket), accepted: firstAccepted,
 		timers: timers{byKey: make(map[Timer]*entry)}, buf: make([]byte, readSize),
 		ready: make([]unix.EpollEvent, mostReady)}
@@ -68,24 +67,31 @@
 	if err := unix.EpollCtl(l.epoll, unix.EPOLL_CTL_ADD, l.wake, &event); err != nil {
 		return nil, fmt.Errorf("epoll: %w", err)
 	}
-	return l, l.listen(listen)
+	return l, nil
 }
 
-func (l *Loop) listen(at netip.AddrPort) error {
-	fd, err := open(at)
+// listen opens a listening socket. Other processes may listen at the same address: an upgrade's two do.
+func (l *Loop) listen(f Effect) error {
+	fd, err := open(f.Addr)
 	if err != nil {
-		return fmt.Errorf("listen on %v: %w", at, err)
+		return err
 	}
-	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
-		return fmt.Errorf("listen on %v: %w", at, err)
+	for _, option := range [...]int{unix.SO_REUSEADDR, unix.SO_REUSEPORT} {
+		if err == nil {
+			err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, option, 1)
+		}
+	}
+	if err == nil {
+		err = unix.Bind(fd, sockaddr(f.Addr))
 	}
-	if err := unix.Bind(fd, sockaddr(at)); err != nil {
-		return fmt.Errorf("listen on %v: %w", at, err)
+	if err == nil {
+		err = unix.Listen(fd, backlog)
 	}
-	if err := unix.Listen(fd, backlog); err != nil {
-		return fmt.Errorf("listen on %v: %w", at, err)
+	if err != nil {
+		_ = unix.Close(fd) // never listened
+		return err
 	}
-	l.add(&socket{conn: Listener, fd: fd})
+	l.add(&socket{conn: f.Conn, fd: fd, urgent: f.Urgent})
 	return nil
 }
 
@@ -198,6 +204,13 @@
 	case Dial:
 		l.dial(f)
 		return
+	case Listen:
+		if err := l.listen(f); err != nil {
+			l.tell(Event{Kind: Broken, Conn: f.Conn, Err: fmt.Errorf("listen on %v: %w", f.Addr, err)})
+		} else {
+			l.tell(Event{Kind: Listening, Conn: f.Conn})
+		}
+		return
 	case SetTimer:
 		l.timers.set(f.Timer, f.At)
 		return
--- a/internal/loop/sockets.go
+++ b/internal/loop/sockets.go
@@ -84,8 +84,8 @@
 		case err == nil:
 			noDelay(fd)
 			l.accepted++
-			l.add(&socket{conn: l.accepted, fd: fd})
-			l.tell(Event{Kind: Accepted, Conn: l.accepted})
+			l.add(&socket{conn: l.accepted, fd: fd, urgent: s.urgent})
+			l.tell(Event{Kind: Accepted, Conn: l.accepted, Via: s.conn})
 		case errors.Is(err, unix.EAGAIN):
 			l.tell(Event{Kind: Drained, Conn: s.conn})
 			return
--- a/internal/loop/types.go
+++ b/internal/loop/types.go
@@ -10,10 +10,11 @@
 // Conn names a socket. A number is never used twice, so that news of a closed socket cannot reach a later one.
 type Conn uint64
 
-// Listener is the socket that clients connect to. Accepted sockets are numbered by the loop from firstAccepted
-// on, dialled ones by the reducer from below it.
+// Listener is the socket that clients connect to, Control the one for operators. Accepted sockets are numbered by
+// the loop from firstAccepted on, dialled ones by the reducer from 1 on.
 const (
 	Listener      Conn = 0
+	Control       Conn = 1 << 62
 	firstAccepted Conn = 1 << 63
 )
 
@@ -27,7 +28,7 @@
 type Kind uint8
 
 // The events. Data, Drained, EOF and Broken answer a Read; Flushed and Broken answer a Write; Connected and
-// Broken answer a Dial; Stale answers a WriteQuiet on a socket whose peer has spoken or left meanwhile; File
+// Broken answer a Dial; Listening and Broken answer a Listen; Stale answers a WriteQuiet on a socket whose peer has spoken or left meanwhile; File
 // answers a ReadFile.
 const (
 	Readable Kind = iota
@@ -40,6 +41,7 @@
 	Broken
 	Flushed
 	Stale
+	Listening
 	TimerDue
 	Start // once, before anything else
 	Stop
@@ -52,6 +54,7 @@
 type Event struct {
 	Kind  Kind
 	Conn  Conn
+	Via   Conn // with Accepted: the listening socket that it came by
 	Timer Timer
 	Data  []byte
 	Err   error
@@ -64,6 +67,7 @@
 const (
 	Accept Op = iota
 	Dial
+	Listen // at Addr, as Conn
 	Read
 	Write
 	WriteQuiet
@@ -82,7 +86,7 @@
 type Effect struct {
 	Op     Op
 	Conn   Conn
-	Urgent bool // with Dial: its news are told before those of other sockets
+	Urgent bool // with Dial and Listen: its news, and those of what it accepts, are told before those of other sockets
 	Addr   netip.AddrPort
 	Data   []byte
 	Path   string
--- /dev/null
+++ b/internal/operators/operators.go
@@ -0,0 +1,131 @@
+// Package operators speaks to the operators at the second address: calls, one a connection, and their answers.
+package operators
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"thymebend/internal/http1"
+	"thymebend/internal/loop"
+)
+
+// Limits of an operator's link.
+const (
+	// MostLinks is how many calls are heard at once. Each has a descriptor that clients cannot take.
+	MostLinks = 10
+	// CallWithin is how long a call may take to come whole, and its answer to be taken.
+	CallWithin = time.Second
+	// LingerFor is how long the end of a link waits for the caller's own.
+	LingerFor = 200 * time.Millisecond
+)
+
+// Link is one operator's link. It carries one call.
+type Link struct {
+	Conn     loop.Conn
+	Answered bool
+	Ended    bool // our sending has ended
+	reader   http1.Reader
+}
+
+// Call is what an operator asks.
+type Call uint8
+
+// The calls. None is not yet whole, Faulty has its answer already.
+const (
+	None Call = iota
+	Readiness
+	Stats
+	Faulty
+)
+
+// Feed takes what has come and returns the call, and for a faulty one its answer.
+func (l *Link) Feed(data []byte) (Call, []byte) {
+	l.reader.Feed(data)
+	m, fault := l.reader.Next()
+	switch {
+	case fault != nil:
+		return Faulty, text(fault.Status, fault.Text)
+	case m == nil:
+		return None, nil
+	}
+	path, _, _ := strings.Cut(m.Target, "?")
+	call := map[string]Call{"/ops/readiness": Readiness, "/ops/stats": Stats}[path]
+	switch {
+	case call == None:
+		return Faulty, text(404, "no such path: /ops/readiness and /ops/stats are there")
+	case m.Method != "GET":
+		return Faulty, http1.AppendResponse(nil, 405, []http1.Field{{Name: "Allow", Value: "GET"}}, []byte("GET only\n"), false)
+	}
+	return call, nil
+}
+
+func text(status int, words string) []byte {
+	return http1.AppendResponse(nil, status, nil, []byte(words+"\n"), false)
+}
+
+// Ready words whether this process takes clients.
+func Ready(yes bool, why string) []byte {
+	if yes {
+		return text(200, "ready")
+	}
+	return text(503, why)
+}
+
+// Figures are what the operators read. Counts are by class and run from the start of the process.
+type Figures struct {
+	Fulfilled     map[string]int64 `json:"fulfilled"`
+	Throttled     map[string]int64 `json:"throttled"`
+	Faulted       map[string]int64 `json:"faulted"`
+	Relayed       int64            `json:"relayed"`
+	Open          int              `json:"open_requests"`
+	Entries       int              `json:"registry_entries"`
+	OutOfRotation int              `json:"out_of_rotation"`
+	Accepted      int              `json:"cfg_accepted"`
+	Invalid       int              `json:"cfg_invalid"`
+}
+
+// Words is the answer with the figures.
+func (f Figures) Words() []byte {
+	body, err := json.Marshal(f)
+	if err != nil { // maps of numbers: cannot be
+		return text(500, err.Error())
+	}
+	return http1.AppendResponse(nil, 200, []http1.Field{{Name: "Content-Type", Value: "application/json"},
+		{Name: "Cache-Control", Value: "no-store"}}, append(body, '\n'), false)
+}
+
+// Links are the operators' links, the oldest first.
+type Links struct {
+	list []*Link
+}
+
+// Find returns the link of a connection, or nil.
+func (s *Links) Find(c loop.Conn) *Link {
+	for _, l := range s.list {
+		if l.Conn == c {
+			return l
+		}
+	}
+	return nil
+}
+
+// Len is how many there are.
+func (s *Links) Len() int { return len(s.list) }
+
+// Add takes a new link. Where that makes too many, the one that gives way is returned: the oldest that has asked
+// nothing, so that those who say nothing never keep out one who asks, else the oldest.
+func (s *Links) Add(c loop.Conn) (out *Link) {
+	if len(s.list) >= MostLinks {
+		at := max(0, slices.IndexFunc(s.list, func(l *Link) bool { return !l.Answered }))
+		out = s.list[at]
+	}
+	s.list = append(s.list, &Link{Conn: c})
+	return out
+}
+
+// Remove forgets a link.
+func (s *Links) Remove(l *Link) {
+	s.list = slices.DeleteFunc(s.list, func(m *Link) bool { return m == l })
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -16,14 +17,17 @@
 
 // settings holds values by path. Reading a value remembers the first fault.
 type settings struct {
-	values map[string]string
-	err    error
+	values  map[string]string
+	text    map[string]bool // of JSON: paths whose value is no number, with those that are null
+	present map[string]bool // of JSON: paths that hold something, without places in lists
+	err     error
 }
 
 // Settings is what the settings say, translated.
 type Settings struct {
 	Config  thymebend.Config
 	Gateway Gateway
+	present map[string]bool
 }
 
 // Gateway is what the gateway itself needs of the settings, beside the module.
@@ -56,7 +60,17 @@
 		MostOpen:       s.integer("bounds.open_cap", 1<<20, false),
 		Waiting:        slices.Index(s.list("report.columns"), "pending"),
 	}
-	return Settings{Config: c, Gateway: g}, s.err
+	return Settings{Config: c, Gateway: g, present: s.present}, s.err
+}
+
+// Lacking names a field that s has and fresh lacks, or a field that every class of s has and one of fresh lacks.
+func (s Settings) Lacking(fresh Settings) error {
+	for _, path := range slices.Sorted(maps.Keys(s.present)) {
+		if !fresh.present[path] {
+			return fmt.Errorf("settings.%s is missing, the file in force has it", path)
+		}
+	}
+	return nil
 }
 
 func (s *settings) list(path string) []string {
@@ -83,7 +97,7 @@
 		FallMultiple:   s.number("guarantees.fall_multiple", 1, false),
 		OverloadFor:    s.millis("guarantees.overload_for_ms", 0, false),
 		MarksRepeats:   s.flag("clients.marks_retry"),
-		MaxAttempts:    s.integer("bounds.most_tries", 1, false),
+		MaxAttempts:    int(s.above("bounds.most_tries", float64(s.integer("bounds.most_tries", 1, false)))),
 		CancelAllowed:  s.flag("bounds.cancel"),
 		RetryAfter:     s.flag("bounds.retry_after"),
 		MaxRetryAfter:  s.millis("bounds.max_retry_after_ms", 0, false),
@@ -94,6 +108,11 @@
 		if s.err != nil {
 			break
 		}
+		for _, earlier := range c.Classes[:i] {
+			if earlier.Name == c.Classes[i].Name && s.present != nil {
+				s.fault("classes.%d.name is %q once more", i, earlier.Name)
+			}
+		}
 	}
 	for i := range s.integer("tenants.count", 0, false) {
 		p := fmt.Sprintf("tenants.%d.", i)
@@ -109,10 +128,13 @@
 }
 
 func (s *settings) class(p string) thymebend.Class {
+	if s.values[p+"name"] == "" && s.present != nil {
+		s.fault("%sname is missing", p)
+	}
 	c := thymebend.Class{
 		Name:      s.values[p+"name"],
 		Aim:       s.millis(p+"aim_ms", 0, true),
-		Deadline:  s.millis(p+"give_up_ms", 0, true),
+		Deadline:  Millis(s.above(p+"give_up_ms", s.number(p+"give_up_ms", 0, true))),
 		Worth:     s.number(p+"worth", 1, false),
 		LateWorth: s.number(p+"late_worth", 0, false),
 		Window:    s.millis(p+"window_ms", 0, false),
@@ -152,13 +174,21 @@
 		return missing
 	}
 	v, err := strconv.ParseFloat(text, 64)
-	if err != nil || !(v > -1e12 && v < 1e12) {
+	if err != nil || s.text[path] || !(v > -1e12 && v < 1e12) {
 		s.fault("%s=%q is not a number", path, text)
 		return missing
 	}
 	return v
 }
 
+// above holds a value that was read to be above 0, and not to be null.
+func (s *settings) above(path string, v float64) float64 {
+	if _, ok := s.values[path]; (ok || s.text[path]) && !(v > 0) || !ok && s.text[path] {
+		s.fault("%s=%q is not a number above 0", path, s.values[path])
+	}
+	return v
+}
+
 func (s *settings) integer(path string, missing int, required bool) int {
 	v := s.number(path, float64(missing), required)
 	if v != float64(int(v)) || v < 0 || v > 1<<20 {
