--- a/api.go
+++ b/api.go
@@ -129,6 +129,7 @@
 	Outcome Outcome
 	Latency time.Duration // since the Send
 	Closed  bool          // the request is concluded, by this outcome or before it
+	Spent   bool          // the request cannot be sent again: a part of its body is gone
 	// Reported is set if the answer carried a load report with the requests waiting at the server, Waiting.
 	Reported bool
 	Waiting  float64
--- a/balancer.go
+++ b/balancer.go
@@ -12,7 +12,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -130,17 +129,6 @@
 	at           time.Duration
 }
 
-// average is a running mean that counts its first values in full.
-type average struct {
-	n    int
-	mean float64
-}
-
-func (a *average) add(x, least float64) {
-	a.n++
-	a.mean += (x - a.mean) * max(1/float64(a.n), least)
-}
-
 // request is a request taken and not yet concluded, or one with attempts still out.
 type request struct {
 	Request
@@ -156,10 +144,11 @@
 
 // attempt is one send of a request.
 type attempt struct {
-	server *server
-	sent   time.Duration
-	ended  bool
-	unrun  bool // known not to have run
+	server  *server
+	sent    time.Duration
+	ended   bool
+	unrun   bool // known not to have run
+	writing bool // its request is still being written
 }
 
 // server is one start of one server.
@@ -418,6 +407,15 @@
 	r.attempts = append(r.attempts, attempt{server: s, sent: b.now})
 	r.open++
 	r.queued = false
+	b.occupy(r, s)
+	if b.coldness(s) < 1 {
+		s.coldTokens--
+	}
+	b.out.Send(r.ID, s.ID, timeout)
+}
+
+// occupy counts an attempt of r among what s works on; vacate takes it back.
+func (b *Balancer) occupy(r *request, s *server) {
 	if b.busy(s) == 0 {
 		s.heard = b.now
 	}
@@ -431,10 +429,33 @@
 		k.since = b.now
 	}
 	k.out++
-	if b.coldness(s) < 1 {
-		s.coldTokens--
+}
+
+func (b *Balancer) vacate(r *request, s *server) {
+	s.inflight--
+	at := slices.Index(s.out, r.ID)
+	s.out = slices.Delete(s.out, at, at+1)
+	s.kinds[r.Class].out--
+}
+
+// Writing tells that an attempt's request is still being written, which is no work for its server, and later that
+// its last byte is: only then do its work, its aim and its client's patience begin.
+func (b *Balancer) Writing(now time.Duration, id RequestID, n int, done bool) {
+	b.now = now
+	r := b.requests[id]
+	if r == nil || n < 0 || n >= len(r.attempts) || r.attempts[n].ended || r.attempts[n].writing != done {
+		return
 	}
-	b.out.Send(r.ID, s.ID, timeout)
+	a := &r.attempts[n]
+	if a.writing = !done; a.writing {
+		b.vacate(r, a.server)
+		if k := &a.server.kinds[r.Class]; k.out == 0 {
+			k.since = 0
+		}
+		return
+	}
+	b.occupy(r, a.server)
+	a.sent, r.arrived, r.begun, r.deadline = now, now, now, now+r.Patience
 }
 
 // limit is the number of requests that s may have in flight from this gateway.
@@ -752,12 +773,10 @@
 	}
 	a := &r.attempts[e.Attempt]
 	a.ended, a.unrun = true, e.Outcome.Unrun()
-	a.server.inflight--
-	at := slices.Index(a.server.out, r.ID)
-	a.server.out = slices.Delete(a.server.out, at, at+1)
-	r.open--
+	if r.open--; !a.writing {
+		b.vacate(r, a.server)
+	}
 	k := &a.server.kinds[r.Class]
-	k.out--
 	b.judge(r, a, e)
 	if k.out == 0 && !b.mute(a.server, r.Class) { // a time-out leaves it mute, until a trial is answered
 		k.since = 0
@@ -768,6 +787,8 @@
 	switch {
 	case e.Closed || r.done:
 		b.conclude(r, e.Outcome == OK && b.now <= b.useful(r))
+	case r.open == 0 && e.Spent:
+		b.finish(r)
 	case r.open == 0:
 		b.again(r)
 	}
@@ -916,18 +937,6 @@
 	}
 }
 
-func (b *Balancer) newRequest() *request {
-	n := len(b.free)
-	if n == 0 {
-		return &request{}
-	}
-	r := b.free[n-1]
-	b.free = b.free[:n-1]
-	clear(r.attempts)
-	*r = request{attempts: r.attempts[:0]}
-	return r
-}
-
 // ---- refusals -------------------------------------------------------------------------------------------
 
 // finish gives r its final answer: a refusal if trying again is harmless, else a failure.
@@ -1280,27 +1289,3 @@
 		b.watch()
 	}
 }
-
-// ---- helpers --------------------------------------------------------------------------------------------
-
-// log writes a line for the people on call, at most about one a second.
-func (b *Balancer) log(format string, args ...any) {
-	if b.loggedAt > 0 && b.now-b.loggedAt < time.Second {
-		return
-	}
-	b.loggedAt = b.now
-	b.out.Log(fmt.Sprintf(format, args...))
-}
-
-func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
-
-func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
-
-func index(yes bool) int {
-	if yes {
-		return 1
-	}
-	return 0
-}
-
-func clamp(x, low, high float64) float64 { return max(low, min(x, high)) }
--- /dev/null
+++ b/cmd/thymebend/large_test.go
@@ -0,0 +1,228 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// highest is the most memory that a process has held, in MB.
+func highest(t *testing.T, pid int) int {
+	t.Helper()
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var kb int
+	_, rest, _ := strings.Cut(string(raw), "VmHWM:")
+	fmt.Sscan(rest, &kb)
+	return kb / 1024
+}
+
+// pattern is a body of n bytes that differs everywhere.
+func pattern(n int) io.Reader {
+	block := make([]byte, 64<<10)
+	for i := range block {
+		block[i] = byte(i * 7 / 3)
+	}
+	var parts []io.Reader
+	for left := n; left > 0; left -= len(block) {
+		parts = append(parts, bytes.NewReader(block[:min(left, len(block))]))
+	}
+	return io.MultiReader(parts...)
+}
+
+func sumOf(r io.Reader) string {
+	h := sha256.New()
+	n, _ := io.Copy(h, r)
+	return fmt.Sprintf("%d %x", n, h.Sum(nil)[:8])
+}
+
+// bulkHost reads bodies as they come and answers with what the target's query asks for.
+func bulkHost(t *testing.T, name string, begun func(r *http.Request, c net.Conn) bool) *host {
+	h := &host{name: name, ln: listen(t)}
+	go each(h.ln, func(c net.Conn) {
+		in := bufio.NewReaderSize(c, 4096)
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil || begun != nil && !begun(r, c) {
+				return
+			}
+			sum := sha256.New()
+			n, err := io.Copy(sum, r.Body)
+			if err != nil {
+				return
+			}
+			got := fmt.Sprintf("%d %x", n, sum.Sum(nil)[:8])
+			h.count(func() { h.asked = append(h.asked, r.Header.Get("X-Trace-Id")) })
+			size, out := 0, bufio.NewWriter(c)
+			fmt.Sscan(r.URL.Query().Get("size"), &size)
+			switch r.URL.Query().Get("how") {
+			case "chunks":
+				fmt.Fprintf(out, "HTTP/1.1 200 OK\r\nX-Got: %s\r\nTransfer-Encoding: chunked\r\n\r\n", got)
+				for left := size; left > 0; left -= 5000 {
+					n := min(left, 5000)
+					fmt.Fprintf(out, "%x;ext=1\r\n%s\r\n", n, strings.Repeat("z", n))
+				}
+				fmt.Fprint(out, "0\r\nTrailer: t\r\n\r\n")
+			case "close":
+				fmt.Fprintf(out, "HTTP/1.1 200 OK\r\nX-Got: %s\r\n\r\n%s", got, strings.Repeat("z", size))
+				out.Flush()
+				return
+			case "break":
+				fmt.Fprintf(out, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("z", size/2))
+				out.Flush()
+				return
+			default:
+				fmt.Fprintf(out, "HTTP/1.1 200 OK\r\nX-Got: %s\r\nContent-Length: %d\r\n\r\n", got, size)
+				_, _ = io.Copy(out, pattern(size))
+			}
+			out.Flush()
+		}
+	})
+	return h
+}
+
+// large words a bid with a body of n bytes to follow, or of chunks if n is 0.
+func large(id, query string, n int) string {
+	head := strings.Replace(lodge(id, ""), "POST /lodge", "POST /lodge?"+query, 1)
+	if n == 0 {
+		return strings.Replace(head, "Content-Length: 0", "Transfer-Encoding: chunked", 1)
+	}
+	return strings.Replace(head, "Length: 0", fmt.Sprintf("Length: %d", n), 1)
+}
+
+// Bodies of 32 MB go both ways, in every framing, with memory far under the limit and the links reused.
+func TestLargeBodiesAreStreamed(t *testing.T) {
+	g := start(t, map[string]any{"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 1024}}, bulkHost(t, "s-1", nil))
+	const most = 32 << 20
+	for i, how := range []string{"length", "chunks", "close"} {
+		c := g.dial()
+		_ = c.SetDeadline(time.Now().Add(30 * time.Second))
+		size := most - i // a body in chunks on the second try
+		stated := size
+		if i == 1 {
+			stated = 0
+		}
+		go func() {
+			fmt.Fprint(c, large(fmt.Sprint("b", i), fmt.Sprintf("size=%d&how=%s", size, how), stated))
+			if stated > 0 {
+				_, _ = io.Copy(c, pattern(size))
+				return
+			}
+			body, _ := io.ReadAll(pattern(size))
+			for len(body) > 0 {
+				n := min(len(body), 70001)
+				fmt.Fprintf(c, "%x\r\n%s\r\n", n, body[:n])
+				body = body[n:]
+			}
+			fmt.Fprint(c, "0\r\n\r\n")
+		}()
+		in := bufio.NewReader(c)
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatalf("%s: %v", how, err)
+		}
+		n, err := io.Copy(io.Discard, resp.Body)
+		if got := resp.Header.Get("X-Got"); err != nil || n != int64(size) || got != sumOf(pattern(size)) {
+			t.Errorf("%s: %d of %d bytes back, %v; the host got %s", how, n, size, err, got)
+		}
+		if status, _, _ := ask(t, c, view(fmt.Sprint("after", i), 900)); status != 200 {
+			t.Errorf("%s: the next request on the link: %d", how, status)
+		}
+	}
+	if mb := highest(t, g.cmd.Process.Pid); mb > 96 { // with the race detector, which takes some of it
+		t.Errorf("the gateway held %d MB", mb)
+	}
+}
+
+// A host that fails before the last byte never ran the request: it is refused, which is harmless, and never resent.
+// One that answers early is heard. Whoever breaks, others are served.
+func TestUploadsThatBreak(t *testing.T) {
+	var tries atomic.Int32
+	h := bulkHost(t, "s-1", func(r *http.Request, c net.Conn) bool {
+		switch id := r.Header.Get("X-Trace-Id"); {
+		case strings.HasPrefix(id, "cut"):
+			tries.Add(1)
+			_, _ = io.CopyN(io.Discard, r.Body, 100<<10)
+			return false
+		case strings.HasPrefix(id, "early"):
+			say(c, "503 Full", "X-Never-Ran: 1\r\n", "")
+			_, _ = io.Copy(io.Discard, c)
+			return false
+		}
+		return true
+	})
+	g := start(t, nil, h)
+	for id, want := range map[string]int{"cut": 503, "early": 503, "wrong": 400} {
+		c := g.dial()
+		n := 8 << 20
+		if id == "wrong" {
+			n = 0
+		}
+		go func() {
+			fmt.Fprint(c, large(id, "size=2", n))
+			if n == 0 {
+				fmt.Fprintf(c, "%x\r\n%s\r\nzz\r\n", 100000, strings.Repeat("x", 100000))
+				return
+			}
+			_, _ = io.Copy(c, pattern(n))
+		}()
+		if status, _, _ := answer(c); status != want {
+			t.Errorf("%s: %d, want %d", id, status, want)
+		}
+	}
+	if n := tries.Load(); n != 1 {
+		t.Errorf("a body whose first bytes were gone went out %d times", n)
+	}
+	left := g.dial()
+	fmt.Fprint(left, large("left", "size=2", 1<<20)+strings.Repeat("x", 200<<10))
+	left.Close()
+	if status, _, _ := ask(t, g.dial(), view("v", 900)); status != 200 {
+		t.Errorf("a view beside them: %d", status)
+	}
+	if _, asked, _ := h.seen(); asked != 1 {
+		t.Errorf("%d requests ran, want the view alone", asked)
+	}
+}
+
+// A host that breaks half way through an answer, or gives one too large, shows as no whole answer, in every framing.
+// A client that reads slowly gets all of it, and holds up nobody.
+func TestAnswersThatBreakOrGoSlowly(t *testing.T) {
+	g := start(t, nil, bulkHost(t, "s-1", nil))
+	for _, old := range []bool{false, true} {
+		c := g.dial()
+		raw := strings.Replace(view("b", 1500), "q=1", "how=break&size=400000", 1)
+		if old {
+			raw = strings.Replace(raw, "HTTP/1.1", "HTTP/1.0", 1)
+		}
+		if status, _, _ := ask(t, c, raw); status != 0 {
+			t.Errorf("half an answer passed as whole (old %v)", old)
+		}
+	}
+	c := g.dial()
+	const size = 12 << 20
+	fmt.Fprint(c, strings.Replace(view("slow", 1500), "q=1", fmt.Sprint("size=", size), 1))
+	resp, err := http.ReadResponse(bufio.NewReaderSize(c, 16), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 5 {
+		if status, _, _ := ask(t, g.dial(), view(fmt.Sprint("v", i), 1500)); status != 200 {
+			t.Errorf("a view beside a slow reader: %d", status)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if got := sumOf(resp.Body); got != sumOf(pattern(size)) {
+		t.Errorf("the slow reader got %s", got)
+	}
+}
--- a/internal/clients/link.go
+++ b/internal/clients/link.go
@@ -19,18 +19,24 @@
 // Limits of a client link.
 const (
 	// MostPipelined bounds what a client may send ahead of an answer; past it the link is not read.
-	MostPipelined = http1.MaxHead + http1.MaxBody
+	MostPipelined = http1.MaxHead + http1.MaxHeld
 	// IdleAfter closes a link on which nothing was asked for this long.
 	IdleAfter = 90 * time.Second
-	// RequestWithin is how long a request may take to come whole: the first one from the accept on, and not
-	// renewed by what trickles in, a later one from its first byte on.
+	// RequestWithin is how long a request may take to come whole: the first one from the accept on, a later one from
+	// its first byte on. It grows only with what has come, by LeastRate: what trickles in does not renew it.
 	RequestWithin = 2500 * time.Millisecond
+	// LeastRate is the least that a client sends of a request's body, in bytes a second.
+	LeastRate = 32 << 10
+	// StandsFor is how long a body that is streamed may stand still.
+	StandsFor = 5 * time.Second
 	// FirstSoon is how soon a client that connects for a request usually sends it.
 	FirstSoon = 500 * time.Millisecond
 	// TakenWithin is how long an answer may take to be written out.
 	TakenWithin = 10 * time.Second
-	// LingerFor is how long the end of a link waits for the client's own.
-	LingerFor = time.Second
+	// LingerFor is how long the end of a link waits for the client's own; where the client is still sending a body
+	// that is no longer wanted, LingerMost at most.
+	LingerFor  = time.Second
+	LingerMost = 5 * time.Second
 )
 
 // Link is one client link.
@@ -46,7 +52,12 @@
 	Since   time.Duration // of its accept or its last answer
 	Timed   bool          // the rest of a request is awaited for a limited time
 	LastAsk bool          // is looked at once more before it is closed
+	Upload  bool          // a body is being taken in pieces and has not ended
+	Drop    bool          // what still comes is of a body that nobody wants
+	Began   time.Duration // of the request that is coming
+	Came    int           // bytes of it
 	reader  http1.Reader
+	large   *Asked // the request under way, whose body is too large to be held
 }
 
 // Feed takes what the client wrote.
@@ -58,6 +69,7 @@
 	Health bool
 	Fault  *http1.Fault
 	Last   bool // the link ends after the answer
+	Large  bool // its body is to be taken in pieces
 }
 
 // Next returns what the client asks next, once it is whole.
@@ -67,17 +79,64 @@
 	case fault != nil:
 		return Asked{Fault: fault, Last: true}, true // where the next request begins is not known
 	case m == nil:
+		return l.nextLarge(classes)
+	}
+	return ask(m, classes), true
+}
+
+// nextLarge returns a request whose body is too large to be held, once as much of it has come as is held, and at once
+// what is wrong with it.
+func (l *Link) nextLarge(classes Classes) (Asked, bool) {
+	head := l.reader.Large()
+	if head == nil {
 		return Asked{}, false
 	}
+	if l.large == nil {
+		asked := ask(&http1.Message{Head: head}, classes)
+		if asked.Health && asked.Fault == nil || asked.Fault == nil && asked.Query.Class.Method == "GET" {
+			asked.Fault = bad("a GET has no body")
+		}
+		asked.Large, l.large = true, &asked
+		if asked.Fault != nil {
+			asked.Last = true // its body is not read
+			return asked, true
+		}
+	}
+	if !l.reader.Full() {
+		return Asked{}, false
+	}
+	asked := *l.large
+	l.large = nil
+	return asked, true
+}
+
+// Begin has the body of the request just asked for taken in pieces. length is -1 where it is not stated.
+func (l *Link) Begin() (length int64) {
+	l.Upload = true
+	return l.reader.Begin()
+}
+
+// Pieces returns what has come of the body, valid until the next call, and whether it has ended.
+func (l *Link) Pieces() (piece []byte, done bool, fault *http1.Fault) {
+	_, piece, done, fault = l.reader.Pieces()
+	return piece, done, fault
+}
+
+func ask(m *http1.Message, classes Classes) (asked Asked) {
 	asked.Last = !m.KeepAlive
 	if path, _, _ := strings.Cut(m.Target, "?"); path == healthPath {
 		if asked.Health = true; m.Method != "GET" {
 			asked.Fault = bad("health is asked for with GET")
 		}
-		return asked, true
+		return asked
 	}
 	asked.Query, asked.Fault = read(m, classes)
-	return asked, true
+	return asked
+}
+
+// Until is the time by which the request that is coming must be whole, for what has come of it.
+func (l *Link) Until() time.Duration {
+	return l.Began + RequestWithin + time.Duration(l.Came)*time.Second/LeastRate
 }
 
 // Pending reports whether a part of a request has come.
--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -37,14 +37,14 @@
 // Refuse implements thymebend.Actions. A refusal goes out at once.
 func (g *Gateway) Refuse(id thymebend.RequestID, after time.Duration) {
 	if q, l := g.finish(id, throttled); l != nil {
-		g.answer(q, l, clients.Refused(after, !l.Closing))
+		g.answer(q, l, clients.Refused(after, g.keep(l)))
 	}
 }
 
 // Fail implements thymebend.Actions.
 func (g *Gateway) Fail(id thymebend.RequestID) {
 	if q, l := g.finish(id, faulted); l != nil {
-		g.answer(q, l, clients.Failed(!l.Closing))
+		g.answer(q, l, clients.Failed(g.keep(l)))
 	}
 }
 
@@ -111,6 +111,12 @@
 
 // tellEnds tells the module the ends that came up while it was busy. What it answers may bring about more.
 func (g *Gateway) tellEnds() {
+	for _, n := range g.notices {
+		g.told = true
+		g.module.Writing(g.now, n.exec.query.id, n.exec.number, n.done)
+	}
+	clear(g.notices)
+	g.notices = g.notices[:0]
 	for i := 0; i < len(g.ended); i++ {
 		g.tellEnd(g.ended[i])
 	}
@@ -127,7 +133,7 @@
 	q := p.exec.query
 	outcome, _ := p.end.outcome()
 	end := thymebend.AttemptEnd{Request: q.id, Attempt: p.exec.number, Server: p.exec.host, Outcome: outcome,
-		Latency: g.now - p.exec.began, Closed: q.over}
+		Latency: g.now - p.exec.began, Closed: q.over, Spent: q.up != nil && q.up.spent}
 	if p.answer != nil && g.cfg.Settings.Gateway.Waiting >= 0 {
 		end.Reported, end.Waiting = p.answer.Reported, p.answer.Waiting
 	}
--- a/internal/gateway/fromclients.go
+++ b/internal/gateway/fromclients.go
@@ -75,7 +75,7 @@
 }
 
 func (g *Gateway) clientCame(c loop.Conn) {
-	g.links.Add(c, g.now)
+	g.links.Add(c, g.now).Began = g.now
 	patience := clients.RequestWithin
 	if g.closed {
 		patience = clients.LingerFor // its request is on the way, or never comes
@@ -86,13 +86,27 @@
 func (g *Gateway) clientEvent(l *clients.Link, e loop.Event) {
 	switch e.Kind {
 	case loop.Readable:
+		if l.Upload {
+			g.uploadReadable(l)
+			return
+		}
 		g.ask(loop.Effect{Op: loop.Read, Conn: l.Conn})
 	case loop.Data:
 		l.LastAsk = false
-		if l.Ended {
-			return // what comes after the last answer belongs to no query
+		if l.Ended || l.Drop {
+			// What comes after the last answer belongs to no query. A client that is still sending is given time.
+			if l.Ended && l.Drop && g.now < l.Since+clients.LingerMost {
+				g.setTimer(timerClient, uint64(l.Conn), g.now+clients.LingerFor)
+			}
+			return
 		}
 		l.Feed(e.Data)
+		if l.Upload {
+			g.setTimer(timerClient, uint64(l.Conn), g.now+clients.StandsFor)
+			g.pumpUpload(g.queries[l.Query])
+			return
+		}
+		l.Came += len(e.Data)
 		g.advance(l)
 	case loop.Drained:
 		if l.LastAsk && !l.Busy && !l.Pending() {
@@ -120,20 +134,19 @@
 		l.Closing = l.Closing || asked.Last || g.stopping
 		g.take(l, asked)
 	}
-	if l.Overfull() && !l.Muted {
-		l.Muted = true
-		g.ask(loop.Effect{Op: loop.Mute, Conn: l.Conn})
+	if l.Busy && !l.Upload && l.Overfull() {
+		g.mute(l)
 	}
 }
 
-// awaitRest bounds the time for the rest of a request, from its first byte on. That of a first request has run
-// since the accept.
+// awaitRest bounds the time for the rest of a request, from its first byte on; clientTimer gives more for what has
+// come meanwhile. That of a first request has run since the accept.
 func (g *Gateway) awaitRest(l *clients.Link) {
 	if !l.Pending() {
 		return
 	}
 	if l.Asked && !l.Timed {
-		l.Timed = true
+		l.Timed, l.Began = true, g.now
 		g.setTimer(timerClient, uint64(l.Conn), g.now+clients.RequestWithin)
 	}
 	if l.AwaitsContinue() {
@@ -143,7 +156,8 @@
 
 // take answers a request itself or makes it a query of the module's.
 func (g *Gateway) take(l *clients.Link, asked clients.Asked) {
-	l.Timed, l.Asked = false, true
+	l.Timed, l.Asked, l.Came = false, true, 0
+	l.Drop = asked.Fault != nil && asked.Last // where its body ends, and the next request begins, is not known
 	switch {
 	case asked.Fault != nil:
 		if asked.Query.Class.Name != "" {
@@ -157,11 +171,15 @@
 	case g.open[asked.Query.ID]:
 		// Two queries of one id could not be told apart at a host: the second would run in the first one's name.
 		g.settle(asked.Query.Class.Name, faulted)
-		g.reply(l, clients.Taken(!l.Closing))
+		l.Upload = asked.Large
+		keep := g.keep(l)
+		g.reply(l, clients.Taken(keep))
 		return
 	case len(g.queries) >= g.cfg.Settings.Gateway.MostOpen:
 		g.settle(asked.Query.Class.Name, throttled)
-		g.reply(l, clients.Refused(g.cfg.Settings.Config.MaxRetryAfter, !l.Closing))
+		l.Upload = asked.Large
+		keep := g.keep(l)
+		g.reply(l, clients.Refused(g.cfg.Settings.Config.MaxRetryAfter, keep))
 		return
 	}
 	g.stopTimer(timerClient, uint64(l.Conn))
@@ -171,6 +189,9 @@
 	g.queries[q.id] = q
 	g.open[read.ID] = true
 	l.Busy, l.Served, l.Query = true, true, q.id
+	if asked.Large {
+		g.beginUpload(q, l)
+	}
 	g.told = true
 	g.module.Request(g.now, thymebend.Request{ID: q.id, Class: read.Class.Place, Patience: read.Patience,
 		Repeat: read.Repeat})
@@ -198,6 +219,10 @@
 
 // flushed goes on once an answer is written out: with the next request, or with the end of the link.
 func (g *Gateway) flushed(l *clients.Link) {
+	if r := g.relays[l.Conn]; r != nil {
+		g.relayFlushed(r)
+		return
+	}
 	if !l.Busy || l.Query != 0 || l.Ended {
 		return
 	}
@@ -206,14 +231,12 @@
 		// Only the sending ends yet: to close a socket on which bytes are still unread would reset it, and
 		// could take the answer from the client.
 		l.Ended = true
+		g.unmute(l)
 		g.ask(loop.Effect{Op: loop.Shutdown, Conn: l.Conn})
 		g.setTimer(timerClient, uint64(l.Conn), g.now+clients.LingerFor)
 		return
 	}
-	if l.Muted {
-		l.Muted = false
-		g.ask(loop.Effect{Op: loop.Unmute, Conn: l.Conn})
-	}
+	g.unmute(l)
 	g.setTimer(timerClient, uint64(l.Conn), g.now+clients.IdleAfter)
 	if g.closed {
 		g.lookAndClose(l)
@@ -233,9 +256,17 @@
 	case l == nil:
 	case l.Ended:
 		g.dropClient(l, EndAnswered)
+	case g.relays[c] != nil && !g.relays[c].busy:
+		g.setTimer(timerClient, uint64(c), g.now+clients.TakenWithin) // the client has taken all that there is
 	case l.Busy && l.Query == 0:
 		g.dropClient(l, EndClientSlow)
+	case l.Upload && l.Muted:
+		g.setTimer(timerClient, uint64(c), g.now+clients.StandsFor) // it is the host that is waited for
+	case l.Upload:
+		g.turnAway(g.queries[l.Query], l, clients.TooSlow())
 	case l.Busy:
+	case l.Pending() && g.now < l.Until():
+		g.setTimer(timerClient, uint64(c), l.Until())
 	case l.Pending():
 		l.Closing = true
 		g.reply(l, clients.TooSlow())
@@ -249,12 +280,22 @@
 	g.log.Debug().Uint64("link", uint64(l.Conn)).Stringer("end", end).Msg("client link")
 	g.stopTimer(timerClient, uint64(l.Conn))
 	delete(g.links.ByConn, l.Conn)
-	g.close(l.Conn)
+	if r := g.relays[l.Conn]; r != nil {
+		// Half an answer is out: the client must be able to tell, however it is framed.
+		g.forgetRelay(r, faulted)
+		g.dropLink(r.server, end)
+		g.ask(loop.Effect{Op: loop.Abort, Conn: l.Conn})
+	} else {
+		g.close(l.Conn)
+	}
 	g.resume()
-	q := g.queries[l.Query]
-	if l.Query == 0 || q == nil || q.over {
-		return
+	if q := g.queries[l.Query]; l.Query != 0 && q != nil && !q.over {
+		g.lapse(q)
 	}
+}
+
+// lapse ends a query that gets no answer of the module's any more, and its executions.
+func (g *Gateway) lapse(q *query) {
 	q.over, q.client = true, 0
 	delete(g.open, q.ID)
 	g.settle(q.Class.Name, faulted) // the client has left; it may stand under any count
--- a/internal/gateway/fromservers.go
+++ b/internal/gateway/fromservers.go
@@ -46,6 +46,13 @@
 // request writes the query to the host. Nothing goes to a host that has left meanwhile: see hostsLeft.
 func (g *Gateway) request(x *execution, op loop.Op) {
 	x.link.Phase = servers.Writing
+	if q := x.query; q.up != nil {
+		// The head goes alone: nothing of the body is lost if the link turns out to be dead.
+		g.notices = append(g.notices, notice{exec: x})
+		g.setTimer(timerExecution, x.id, g.now+standsFor)
+		g.ask(loop.Effect{Op: op, Conn: x.link.Conn, Data: servers.AppendHead(nil, q.Message, q.up.length, q.Patience)})
+		return
+	}
 	data := servers.AppendRequest(nil, x.query.Message, x.until-g.now)
 	g.ask(loop.Effect{Op: op, Conn: x.link.Conn, Data: data})
 }
@@ -59,7 +66,10 @@
 		g.setTimer(timerExecution, x.id, x.until)
 		g.request(x, loop.Write)
 	case loop.Flushed:
-		if l.Phase == servers.Writing {
+		switch {
+		case x != nil && x.query.up != nil && l.Phase == servers.Writing:
+			g.uploadFlushed(x)
+		case l.Phase == servers.Writing:
 			l.Phase = servers.Awaiting
 			g.relayed++
 		}
@@ -86,6 +96,10 @@
 		g.endExecution(x, EndGarbled, nil)
 	case answer != nil:
 		g.answered(x, answer)
+	default:
+		if a := l.Large(); a != nil {
+			g.large(x, a)
+		}
 	}
 }
 
@@ -123,15 +137,15 @@
 	l, q := x.link, x.query
 	if l.Phase == servers.Awaiting && l.Reusable(a) && g.mayRest(l) {
 		g.unbind(x)
-		g.pool.Rest(l)
-		g.setTimer(timerLink, uint64(l.Conn), g.now+scale(g.cfg.Settings.Gateway.ConnIdle, idleShare))
+		g.rest(l)
 	}
 	if end == EndServed && !q.over {
 		q.over = true
 		delete(g.open, q.ID)
 		g.settle(q.Class.Name, fulfilled)
 		if c := g.links.ByConn[q.client]; c != nil {
-			g.answer(q, c, clients.Served(a.Passed(), a.Body, !c.Closing))
+			keep := g.keep(c)
+			g.answer(q, c, clients.Served(a.Passed(), a.Body, keep))
 		}
 	}
 	g.endExecution(x, end, a)
@@ -142,6 +156,11 @@
 	return h != nil && h.State == thymebend.Ready && !g.stopping
 }
 
+func (g *Gateway) rest(l *servers.Link) {
+	g.pool.Rest(l)
+	g.setTimer(timerLink, uint64(l.Conn), g.now+scale(g.cfg.Settings.Gateway.ConnIdle, idleShare))
+}
+
 func (g *Gateway) unbind(x *execution) {
 	delete(g.byLink, x.link.Conn)
 	x.link = nil
@@ -157,6 +176,9 @@
 	g.stopTimer(timerExecution, x.id)
 	delete(g.byID, x.id)
 	q := x.query
+	if q.up != nil {
+		q.up.x, q.up.busy = nil, false
+	}
 	q.executions = slices.DeleteFunc(q.executions, func(y *execution) bool { return y == x })
 	g.forget(q)
 	if end != EndServed && end != EndTurnedAway {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,6 +49,7 @@
 	over       bool // has its final answer, or its client is gone
 	attempts   int
 	executions []*execution // under way
+	up         *upload      // its body, where that is too large to be held
 }
 
 // execution is one attempt under way.
@@ -69,6 +70,12 @@
 	answer *servers.Answer
 }
 
+// notice is news of an upload that the module is told once it has returned, before the ends.
+type notice struct {
+	exec *execution
+	done bool // its last byte is written
+}
+
 // Gateway is the state. It implements thymebend.Actions.
 type Gateway struct {
 	cfg    config.Config
@@ -78,12 +85,14 @@
 
 	effects []loop.Effect
 	ended   []pendingEnd
+	notices []notice
 	told    bool // the module was told something since its last Dispatch
 	wakes   uint64
 
 	queries  map[thymebend.RequestID]*query
 	open     map[string]bool // the clients' ids of the queries that await their answer
 	nextID   thymebend.RequestID
+	relays   map[loop.Conn]*relay // large answers under way, by either link
 	byLink   map[loop.Conn]*execution
 	byID     map[uint64]*execution
 	nextExec uint64
@@ -117,6 +126,7 @@
 		cfg: cfg, log: log,
 		queries: make(map[thymebend.RequestID]*query), open: make(map[string]bool),
 		former: make(map[string]formerly), tallies: make(map[string]*tally),
+		relays: make(map[loop.Conn]*relay),
 		byLink: make(map[loop.Conn]*execution), byID: make(map[uint64]*execution),
 		links: clients.NewLinks(inbound), pool: servers.NewPool(int(sockets) - inbound),
 		group: hostgroup.New(cfg.Settings.Gateway.Zones),
@@ -232,6 +242,10 @@
 		g.clientEvent(l, e)
 		return
 	}
+	if r := g.relays[e.Conn]; r != nil {
+		g.relayEvent(r, e)
+		return
+	}
 	if l := g.pool.Find(e.Conn); l != nil {
 		g.serverEvent(l, e)
 		return
@@ -247,7 +261,9 @@
 	case timerClient:
 		g.clientTimer(loop.Conn(t.ID))
 	case timerLink:
-		if l := g.pool.Find(loop.Conn(t.ID)); l != nil && l.Phase == servers.Idle {
+		if r := g.relays[loop.Conn(t.ID)]; r != nil {
+			g.relayTimer(r)
+		} else if l := g.pool.Find(loop.Conn(t.ID)); l != nil && l.Phase == servers.Idle {
 			g.dropLink(l, EndLinkIdle)
 		}
 	case timerExecution:
--- /dev/null
+++ b/internal/gateway/relay.go
@@ -0,0 +1,148 @@
+package gateway
+
+import (
+	"thymebend/internal/clients"
+	"thymebend/internal/http1"
+	"thymebend/internal/loop"
+	"thymebend/internal/servers"
+)
+
+// relay is a large answer on its way from a host to a client, one piece at a time. For the module the attempt has
+// ended.
+type relay struct {
+	client *clients.Link
+	server *servers.Link
+	id     string // the client's, of the query
+	class  string
+	chunks bool // how the answer goes to the client
+	reuse  bool // the server link may carry another request afterwards
+	busy   bool // a piece is not yet written out
+	muted  bool // the host waits for the client
+	done   bool // the last piece has come
+}
+
+// large takes a host's answer that is too large to be held. A 200 is passed on as it comes; of others only the head
+// matters.
+func (g *Gateway) large(x *execution, a *servers.Answer) {
+	q, l := x.query, x.link
+	c := g.links.ByConn[q.client]
+	if a.Status != 200 || q.over || c == nil {
+		g.answered(x, a)
+		return
+	}
+	reuse := a.KeepAlive && l.Phase == servers.Awaiting
+	length := l.Begin()
+	chunks := length < 0 && q.Message.Minor > 0
+	keep := g.keep(c)
+	if length < 0 && !chunks { // a client too old for chunks knows the end by the connection's
+		keep, c.Closing = false, true
+	}
+	r := &relay{client: c, server: l, id: q.ID, class: q.Class.Name, chunks: chunks, reuse: reuse}
+	g.relays[c.Conn], g.relays[l.Conn] = r, r
+	g.unbind(x)
+	l.Phase = servers.Relaying
+	q.over, q.client, c.Query = true, 0, 0
+	g.endExecution(x, EndServed, a)
+	g.forget(q)
+	g.write(c.Conn, http1.AppendResponseHead(nil, 200, a.Passed(), length, q.Message.Minor, keep))
+	r.busy = true
+	g.setTimer(timerClient, uint64(c.Conn), g.now+clients.TakenWithin)
+	g.setTimer(timerLink, uint64(l.Conn), g.now+standsFor)
+}
+
+// relayEvent takes the news of the host's side.
+func (g *Gateway) relayEvent(r *relay, e loop.Event) {
+	if r.done && (e.Kind == loop.EOF || e.Kind == loop.Broken) {
+		r.reuse = false
+		return
+	}
+	switch e.Kind {
+	case loop.Readable:
+		if r.busy && !r.muted { // one that is muted and has news is broken: see loop.Mute
+			r.muted = true
+			g.ask(loop.Effect{Op: loop.Mute, Conn: e.Conn})
+			return
+		}
+		g.ask(loop.Effect{Op: loop.Read, Conn: e.Conn})
+	case loop.Data:
+		r.server.Take(e.Data)
+		g.setTimer(timerLink, uint64(e.Conn), g.now+standsFor)
+		g.pumpRelay(r)
+	case loop.EOF:
+		if !r.server.EndsByClose() {
+			g.dropClient(r.client, EndCut)
+			return
+		}
+		r.reuse = false
+		g.pass(r, nil, true)
+	case loop.Broken:
+		g.dropClient(r.client, EndCut)
+	}
+}
+
+// pumpRelay writes what has come of an answer to the client.
+func (g *Gateway) pumpRelay(r *relay) {
+	if r.busy || r.done {
+		return
+	}
+	piece, done, err := r.server.Pieces()
+	if err != nil {
+		g.log.Debug().Err(err).Msg("answer of a host")
+		g.dropClient(r.client, EndGarbled)
+		return
+	}
+	if len(piece) > 0 || done {
+		g.pass(r, piece, done)
+	}
+}
+
+func (g *Gateway) pass(r *relay, piece []byte, last bool) {
+	r.done = last
+	data := g.framed(piece, r.chunks, last)
+	if len(data) == 0 {
+		g.relayFlushed(r) // an end that takes no byte
+		return
+	}
+	r.busy = true
+	g.setTimer(timerClient, uint64(r.client.Conn), g.now+clients.TakenWithin)
+	g.write(r.client.Conn, data)
+}
+
+// relayFlushed goes on once a piece is written out, or ends the answer with the last one.
+func (g *Gateway) relayFlushed(r *relay) {
+	r.busy = false
+	if !r.done {
+		if g.pumpRelay(r); r.muted && !r.busy && g.relays[r.server.Conn] == r {
+			r.muted = false
+			g.ask(loop.Effect{Op: loop.Unmute, Conn: r.server.Conn})
+		}
+		return
+	}
+	l, c := r.server, r.client
+	g.forgetRelay(r, fulfilled)
+	if r.muted {
+		g.ask(loop.Effect{Op: loop.Unmute, Conn: l.Conn})
+	}
+	if r.reuse && l.Clean() && g.mayRest(l) {
+		g.rest(l)
+	} else {
+		g.dropLink(l, EndServed)
+	}
+	g.flushed(c)
+}
+
+func (g *Gateway) forgetRelay(r *relay, how result) {
+	delete(g.relays, r.client.Conn)
+	delete(g.relays, r.server.Conn)
+	delete(g.open, r.id)
+	g.settle(r.class, how)
+}
+
+// relayTimer bounds how long a host may send nothing while it may.
+func (g *Gateway) relayTimer(r *relay) {
+	if r.busy || r.muted {
+		g.setTimer(timerLink, uint64(r.server.Conn), g.now+standsFor)
+		return
+	}
+	g.dropClient(r.client, EndTimedOut)
+}
--- /dev/null
+++ b/internal/gateway/upload.go
@@ -0,0 +1,121 @@
+package gateway
+
+import (
+	"time"
+
+	"thymebend/internal/clients"
+	"thymebend/internal/http1"
+	"thymebend/internal/loop"
+	"thymebend/internal/servers"
+)
+
+// standsFor is how long a stream may stand still on a host's side: nothing taken of what is written, or nothing sent.
+const standsFor = 10 * time.Second
+
+// upload is a request's body on its way from the client to a host, one piece at a time.
+type upload struct {
+	length int64      // -1: in chunks
+	x      *execution // whose host has the head; nil until then
+	busy   bool       // a piece is not yet written out
+	spent  bool       // a part has left for a host: it cannot be sent again
+	whole  bool       // the last piece has been taken from the client
+}
+
+// beginUpload has a link wait, with the first part of a body, until the module has chosen a host.
+func (g *Gateway) beginUpload(q *query, l *clients.Link) {
+	q.up = &upload{length: l.Begin()}
+	g.mute(l)
+	g.setTimer(timerClient, uint64(l.Conn), g.now+clients.StandsFor)
+}
+
+func (g *Gateway) mute(l *clients.Link) {
+	if !l.Muted {
+		l.Muted = true
+		g.ask(loop.Effect{Op: loop.Mute, Conn: l.Conn})
+	}
+}
+
+func (g *Gateway) unmute(l *clients.Link) {
+	if l.Muted {
+		l.Muted = false
+		g.ask(loop.Effect{Op: loop.Unmute, Conn: l.Conn})
+	}
+}
+
+// uploadReadable reads on only while all that has come is written out: the client goes at the host's pace.
+func (g *Gateway) uploadReadable(l *clients.Link) {
+	if q := g.queries[l.Query]; !l.Muted && (q.up.x == nil || q.up.busy) {
+		g.mute(l)
+		return
+	}
+	g.ask(loop.Effect{Op: loop.Read, Conn: l.Conn})
+}
+
+// pumpUpload writes what has come of a body to the host.
+func (g *Gateway) pumpUpload(q *query) {
+	up, l := q.up, g.links.ByConn[q.client]
+	if up.x == nil || up.busy || up.whole || l == nil {
+		return
+	}
+	piece, done, fault := l.Pieces()
+	if fault != nil {
+		g.turnAway(q, l, clients.Faulty(fault, false))
+		return
+	}
+	if len(piece) == 0 && !done {
+		g.unmute(l)
+		return
+	}
+	up.spent, up.whole, up.busy = up.spent || len(piece) > 0, done, true
+	if done {
+		l.Upload = false
+		g.stopTimer(timerClient, uint64(l.Conn))
+	}
+	g.unmute(l)
+	g.setTimer(timerExecution, up.x.id, g.now+standsFor)
+	g.write(up.x.link.Conn, g.framed(piece, up.length < 0, done))
+}
+
+// framed words a piece of a body. The bytes are valid until the next Step.
+func (g *Gateway) framed(piece []byte, chunks, last bool) []byte {
+	if !chunks {
+		return piece
+	}
+	return http1.AppendChunk(nil, piece, last)
+}
+
+// uploadFlushed goes on once the head or a piece is written out.
+func (g *Gateway) uploadFlushed(x *execution) {
+	up := x.query.up
+	g.stopTimer(timerExecution, x.id)
+	up.x, up.busy = x, false
+	if !up.whole {
+		g.pumpUpload(x.query)
+		return
+	}
+	// The last byte is written: from here on the host works, and the client waits.
+	x.link.Phase = servers.Awaiting
+	g.relayed++
+	x.began, x.until = g.now, g.now+x.query.Patience
+	x.query.deadline = x.until
+	g.setTimer(timerExecution, x.id, x.until)
+	g.notices = append(g.notices, notice{exec: x, done: true})
+}
+
+// turnAway ends a query whose client does not send its body as it should, and answers it.
+func (g *Gateway) turnAway(q *query, l *clients.Link, answer []byte) {
+	g.lapse(q)
+	g.keep(l)
+	l.Closing = true
+	g.reply(l, answer)
+}
+
+// keep reports whether a link stays open after the answer that is worded now. One whose body has not ended must not:
+// where its next request begins is not known. What still comes of the body is read and dropped.
+func (g *Gateway) keep(l *clients.Link) bool {
+	if l.Upload {
+		l.Upload, l.Closing, l.Drop = false, true, true
+		g.unmute(l)
+	}
+	return !l.Closing
+}
--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -35,6 +35,8 @@
 	switch {
 	case lengths > 1, lengths > 0 && codings > 0:
 		return b, bad("the body's length is stated twice")
+	case codings > 0 && h.Minor == 0:
+		return b, bad("HTTP/1.0 has no transfer codings")
 	case response && (h.Status < 200 || h.Status == 204 || h.Status == 304):
 		b.done = true
 	case codings == 1 && strings.EqualFold(coding, "chunked"):
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -10,7 +10,8 @@
 // Limits of a message, in bytes.
 const (
 	MaxHead   = 16 << 10
-	MaxBody   = 64 << 10
+	MaxHeld   = 64 << 10 // a body is held whole up to this, and handed out in pieces past it
+	MaxBody   = 32 << 20
 	maxFields = 100
 )
 
@@ -33,6 +34,8 @@
 	Status         int
 	Fields         []Field
 	KeepAlive      bool
+	Minor          int // of the version: HTTP/1.Minor
+	authority      string
 }
 
 // Get returns a field's value and how often it occurs.
@@ -93,10 +96,16 @@
 			return nil, fault
 		}
 	}
-	h.KeepAlive = !h.has("Connection", "close") && (minor == 1 || h.has("Connection", "keep-alive"))
+	h.Minor = minor
+	h.KeepAlive = minor == 1 && !h.has("Connection", "close") // HTTP/1.0's is not offered: Connection: close says so
 	if _, hosts := h.Get("Host"); !response && (hosts > 1 || hosts == 0 && minor == 1) {
 		return nil, bad("a request needs one Host")
 	}
+	for i := range h.Fields {
+		if h.authority != "" && strings.EqualFold(h.Fields[i].Name, "Host") {
+			h.Fields[i].Value = h.authority
+		}
+	}
 	return h, nil
 }
 
@@ -125,17 +134,41 @@
 
 func (h *Head) requestLine(line string) (int, *Fault) {
 	parts := strings.Split(line, " ")
-	if len(parts) != 3 || !token(parts[0]) || !strings.HasPrefix(parts[1], "/") || !visible(parts[1]) {
+	if len(parts) != 3 || !token(parts[0]) || !visible(parts[1]) {
 		return 0, bad("malformed request line")
 	}
+	if !h.target(parts[1]) {
+		return 0, bad("malformed request target")
+	}
 	minor, ok := version(parts[2])
 	if !ok {
 		return 0, &Fault{505, "not HTTP/1.0 or HTTP/1.1"}
 	}
-	h.Method, h.Target = parts[0], parts[1]
+	h.Method = parts[0]
 	return minor, nil
 }
 
+// target takes the origin form, or the absolute form, whose authority goes before the field Host.
+func (h *Head) target(s string) bool {
+	if scheme, rest, ok := strings.Cut(s, "://"); ok && !strings.HasPrefix(s, "/") {
+		if !strings.EqualFold(scheme, "http") && !strings.EqualFold(scheme, "https") {
+			return false
+		}
+		at := strings.IndexAny(rest, "/?")
+		if at < 0 {
+			at = len(rest)
+		}
+		if h.authority, s = rest[:at], rest[at:]; h.authority == "" {
+			return false
+		}
+		if !strings.HasPrefix(s, "/") {
+			s = "/" + s
+		}
+	}
+	h.Target = s
+	return strings.HasPrefix(s, "/")
+}
+
 func (h *Head) statusLine(line string) (int, *Fault) {
 	v, rest, _ := strings.Cut(line, " ")
 	code, _, _ := strings.Cut(rest, " ")
--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -2,6 +2,9 @@
 
 import "bytes"
 
+// mostInterim bounds the interim responses before a final one.
+const mostInterim = 64
+
 // Reader reads the messages of one connection, one after another.
 type Reader struct {
 	Response bool // reads responses rather than requests
@@ -11,7 +14,10 @@
 	head     *Head
 	body     body
 	payload  []byte
+	came     int64 // of the body
+	interim  int
 	asked    bool // AwaitsContinue has looked at this head
+	bulk     bool // this message's body is handed out in pieces
 }
 
 // Message is one whole message.
@@ -31,43 +37,71 @@
 
 // Next returns the next message if it is whole. Its body is valid for good: it is not reused.
 func (r *Reader) Next() (*Message, *Fault) {
-	for {
-		if fault := r.advance(); fault != nil {
-			return nil, fault
-		}
-		if r.head == nil || !r.body.done {
-			return nil, nil
-		}
-		m := &Message{r.head, r.payload}
-		r.head, r.payload = nil, nil
-		if r.Response && m.Status < 200 {
-			continue // an interim response: the final one follows
-		}
-		return m, nil
+	if fault := r.advance(); fault != nil {
+		return nil, fault
+	}
+	if r.head == nil || !r.body.done || r.bulk || len(r.payload) > MaxHeld {
+		return nil, nil
+	}
+	m := &Message{r.head, r.payload}
+	r.reset()
+	return m, nil
+}
+
+// Large returns the head of the message under way if its body is too large to be held, else nil. Where the length
+// is not stated, that shows once so much has come.
+func (r *Reader) Large() *Head {
+	if r.head == nil || r.body.framing == byLength && r.body.left+r.came <= MaxHeld ||
+		r.body.framing != byLength && r.came <= MaxHeld {
+		return nil
+	}
+	return r.head
+}
+
+// Full reports whether as much of the body waits as is held.
+func (r *Reader) Full() bool { return len(r.payload) >= MaxHeld }
+
+// Begin hands out the body of the message under way in pieces from now on, see Pieces. length is -1 where it is
+// not stated.
+func (r *Reader) Begin() (length int64) {
+	r.bulk = true
+	if r.body.framing != byLength {
+		return -1
 	}
+	return r.came + r.body.left
 }
 
-// Pieces returns the head of a streamed response once it is there, what has come of the body since the last
-// call, and whether the body has ended.
+// Pieces returns the head of a streamed message once it is there, what has come of the body since the last call,
+// valid until the next call, and whether the body has ended. A message that Begin began is over with it.
 func (r *Reader) Pieces() (head *Head, piece []byte, done bool, fault *Fault) {
 	if fault := r.advance(); fault != nil {
 		return nil, nil, false, fault
 	}
-	piece, r.payload = r.payload, nil
-	return r.head, piece, r.head != nil && r.body.done, nil
+	head, piece, done = r.head, r.payload, r.head != nil && r.body.done
+	if r.payload = r.payload[:0]; done && r.bulk {
+		r.reset()
+	}
+	return head, piece, done, nil
 }
 
 // End tells that the peer has ended its sending, and returns the message that this completes, if any.
 func (r *Reader) End() *Message {
-	if r.head == nil || r.body.framing != byClose || r.body.done {
+	if !r.EndsByClose() {
 		return nil
 	}
 	m := &Message{r.head, r.payload}
 	m.KeepAlive = false
-	r.head, r.payload = nil, nil
+	r.reset()
 	return m
 }
 
+// EndsByClose reports whether the end of the peer's sending is the regular end of the message under way.
+func (r *Reader) EndsByClose() bool {
+	return r.head != nil && r.body.framing == byClose && !r.body.done
+}
+
+func (r *Reader) reset() { r.head, r.payload, r.came, r.interim, r.bulk = nil, nil, 0, 0, false }
+
 // AwaitsContinue reports, once a message, whether the peer holds back its body until it is asked for.
 func (r *Reader) AwaitsContinue() bool {
 	if r.head == nil || r.asked || r.body.done || len(r.in)+len(r.payload) > 0 {
@@ -78,19 +112,25 @@
 }
 
 func (r *Reader) advance() *Fault {
-	if r.head == nil {
+	for r.head == nil {
 		if fault := r.readHead(); fault != nil || r.head == nil {
 			return fault
 		}
+		if r.Response && r.head.Status < 200 { // an interim response: the final one follows
+			if r.interim++; r.head.Status == 101 || r.interim > mostInterim {
+				return bad("an interim response out of place")
+			}
+			r.head = nil
+		}
 	}
-	used := 0
-	for {
+	used, held := 0, r.Stream || r.bulk
+	for held || len(r.payload) <= MaxHeld { // what is too large to be held waits until it is known where to
 		piece, n, fault := r.body.take(r.in[used:])
 		if fault != nil {
 			return fault
 		}
 		r.payload = append(r.payload, piece...)
-		if !r.Stream && len(r.payload) > MaxBody {
+		if r.came += int64(len(piece)); !r.Stream && r.came > MaxBody {
 			return &Fault{413, "body too large"}
 		}
 		if used += n; n == 0 {
@@ -131,7 +171,7 @@
 // consume drops what was read, and the buffer with it if it grew for one large message.
 func (r *Reader) consume(n int) {
 	r.in = r.in[:copy(r.in, r.in[n:])]
-	if len(r.in) == 0 && cap(r.in) > MaxHead {
+	if len(r.in) == 0 && cap(r.in) > MaxHead && !r.bulk {
 		r.in = nil
 	}
 }
--- a/internal/http1/write.go
+++ b/internal/http1/write.go
@@ -10,12 +10,61 @@
 	dst = append(dst, " HTTP/1.1\r\n"...)
 	dst = appendFields(dst, fields)
 	if len(body) > 0 || method != "GET" && method != "HEAD" {
-		dst = appendLength(dst, len(body))
+		dst = appendLength(dst, int64(len(body)))
 	}
 	dst = append(dst, "\r\n"...)
 	return append(dst, body...)
 }
 
+// AppendRequestHead writes the head of a request whose body follows in pieces: of a length, or in chunks if that
+// is -1.
+func AppendRequestHead(dst []byte, method, target string, fields []Field, length int64) []byte {
+	dst = append(dst, method...)
+	dst = append(dst, ' ')
+	dst = append(dst, target...)
+	dst = append(dst, " HTTP/1.1\r\n"...)
+	return append(appendFraming(appendFields(dst, fields), length), "\r\n"...)
+}
+
+// AppendResponseHead writes the head of a response whose body follows in pieces: of a length, or in chunks if that
+// is -1, or until the end of the connection if the reader is too old for chunks.
+func AppendResponseHead(dst []byte, status int, fields []Field, length int64, minor int, keepAlive bool) []byte {
+	dst = append(dst, "HTTP/1.1 "...)
+	dst = strconv.AppendInt(dst, int64(status), 10)
+	dst = append(dst, ' ')
+	dst = append(dst, reason(status)...)
+	dst = append(dst, "\r\n"...)
+	dst = appendFields(dst, fields)
+	if length >= 0 || minor > 0 {
+		dst = appendFraming(dst, length)
+	}
+	if !keepAlive {
+		dst = append(dst, "Connection: close\r\n"...)
+	}
+	return append(dst, "\r\n"...)
+}
+
+func appendFraming(dst []byte, length int64) []byte {
+	if length < 0 {
+		return append(dst, "Transfer-Encoding: chunked\r\n"...)
+	}
+	return appendLength(dst, length)
+}
+
+// AppendChunk writes a piece of a body in chunks, and the end of the body with the last one.
+func AppendChunk(dst, piece []byte, last bool) []byte {
+	if len(piece) > 0 {
+		dst = strconv.AppendInt(dst, int64(len(piece)), 16)
+		dst = append(dst, "\r\n"...)
+		dst = append(dst, piece...)
+		dst = append(dst, "\r\n"...)
+	}
+	if last {
+		dst = append(dst, "0\r\n\r\n"...)
+	}
+	return dst
+}
+
 // AppendResponse writes a response.
 func AppendResponse(dst []byte, status int, fields []Field, body []byte, keepAlive bool) []byte {
 	dst = append(dst, "HTTP/1.1 "...)
@@ -24,7 +73,7 @@
 	dst = append(dst, reason(status)...)
 	dst = append(dst, "\r\n"...)
 	dst = appendFields(dst, fields)
-	dst = appendLength(dst, len(body))
+	dst = appendLength(dst, int64(len(body)))
 	if !keepAlive {
 		dst = append(dst, "Connection: close\r\n"...)
 	}
@@ -42,9 +91,9 @@
 	return dst
 }
 
-func appendLength(dst []byte, n int) []byte {
+func appendLength(dst []byte, n int64) []byte {
 	dst = append(dst, "Content-Length: "...)
-	dst = strconv.AppendInt(dst, int64(n), 10)
+	dst = strconv.AppendInt(dst, n, 10)
 	return append(dst, "\r\n"...)
 }
 
--- a/internal/lab/virtual/loop.go
+++ b/internal/lab/virtual/loop.go
@@ -370,6 +370,10 @@
 	case loop.Shutdown:
 		s.end.CloseWrite()
 		l.heat(s)
+	case loop.Abort:
+		s.end.ready = nil
+		delete(l.socks, s.conn)
+		s.end.Reset()
 	case loop.Close:
 		l.remove(s)
 	case loop.Mute, loop.Unmute:
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -16,6 +16,7 @@
 	mostAccept  = 64 // sockets accepted before others get a turn
 	backlog     = 1024
 	mostSignals = 16
+	keptOut     = 4 << 10 // of a socket's buffer for writing, once it is empty
 )
 
 // socket is one non-blocking socket.
@@ -247,6 +248,10 @@
 		l.write(s, f.Data)
 	case Shutdown:
 		_ = unix.Shutdown(s.fd, unix.SHUT_WR) // a socket that is broken already tells so when read
+	case Abort:
+		// Where the option fails the peer sees an end; with a stated length or chunks that still tells it enough.
+		_ = unix.SetsockoptLinger(s.fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+		l.remove(s)
 	case Close:
 		l.remove(s)
 	case Mute, Unmute:
--- a/internal/loop/sockets.go
+++ b/internal/loop/sockets.go
@@ -151,28 +151,52 @@
 
 // write sends what it can now and keeps the rest until the socket takes it.
 func (l *Loop) write(s *socket, data []byte) {
-	waiting := len(s.out) > 0
-	s.out = append(s.out, data...)
-	if !waiting {
-		l.flush(s)
+	if len(s.out) > 0 {
+		s.out = append(s.out, data...)
+		return
+	}
+	if n, ok := l.send(s, data); ok {
+		s.out = append(s.out, data[n:]...)
+		l.sent(s)
 	}
 }
 
 func (l *Loop) flush(s *socket) {
-	for len(s.out) > 0 {
-		n, err := unix.SendmsgN(s.fd, s.out, nil, nil, unix.MSG_NOSIGNAL)
+	if len(s.out) == 0 {
+		l.arm(s)
+		return
+	}
+	if n, ok := l.send(s, s.out); ok {
+		s.out = s.out[:copy(s.out, s.out[n:])]
+		l.sent(s)
+	}
+}
+
+// send writes until the socket takes no more. It reports false where that ended the socket.
+func (l *Loop) send(s *socket, data []byte) (n int, ok bool) {
+	for n < len(data) {
+		m, err := unix.SendmsgN(s.fd, data[n:], nil, nil, unix.MSG_NOSIGNAL)
 		if errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR) {
-			l.arm(s)
-			return
+			return n, true
 		}
 		if err != nil {
 			l.fail(s, err)
-			return
+			return n, false
 		}
-		s.out = s.out[:copy(s.out, s.out[n:])]
+		n += m
+	}
+	return n, true
+}
+
+// sent waits for room for what is left, or tells that nothing is. A buffer that grew large goes with its last byte.
+func (l *Loop) sent(s *socket) {
+	if len(s.out) == 0 {
+		if cap(s.out) > keptOut {
+			s.out = nil
+		}
+		l.tell(Event{Kind: Flushed, Conn: s.conn})
 	}
 	l.arm(s)
-	l.tell(Event{Kind: Flushed, Conn: s.conn})
 }
 
 // quiet reports whether an idle peer has neither spoken nor left. Guards against sending a request on a link
--- a/internal/loop/types.go
+++ b/internal/loop/types.go
@@ -63,7 +63,7 @@
 // Op says what an effect does.
 type Op uint8
 
-// The effects. Mute stops Readable events of a socket until Unmute. Again asks for one more Turn at once.
+// The effects. Mute stops Readable events of a socket until Unmute, but for those of one that is broken. Again asks for one more Turn at once.
 const (
 	Accept Op = iota
 	Dial
@@ -73,6 +73,7 @@
 	WriteQuiet
 	Shutdown
 	Close
+	Abort // closes so that the peer sees a reset, never a regular end
 	Mute
 	Unmute
 	SetTimer
--- a/internal/servers/pool.go
+++ b/internal/servers/pool.go
@@ -15,12 +15,13 @@
 // Phase is how far a server link is.
 type Phase uint8
 
-// A link connects, stands idle, writes a request, and awaits its answer.
+// A link connects, stands idle, writes a request, and awaits its answer. Where that is large it relays it.
 const (
 	Connecting Phase = iota
 	Idle
 	Writing
 	Awaiting
+	Relaying // its answer is passed on as it comes
 )
 
 // Link is one server link. It carries one execution at a time.
@@ -52,6 +53,35 @@
 	return nil
 }
 
+// Large returns the head of an answer that is too large to be held, or nil.
+func (l *Link) Large() *Answer {
+	if head := l.reader.Large(); head != nil {
+		return read(&http1.Message{Head: head})
+	}
+	return nil
+}
+
+// Begin has the answer under way handed out in pieces. length is -1 where it is not stated.
+func (l *Link) Begin() (length int64) { return l.reader.Begin() }
+
+// Take takes what a host wrote of an answer that is handed out in pieces.
+func (l *Link) Take(data []byte) { l.reader.Feed(data) }
+
+// Pieces returns what has come of the answer, valid until the next call, and whether it has ended.
+func (l *Link) Pieces() (piece []byte, done bool, err error) {
+	_, piece, done, fault := l.reader.Pieces()
+	if fault != nil {
+		return nil, false, fault
+	}
+	return piece, done, nil
+}
+
+// EndsByClose reports whether the end of the host's sending is the regular end of the answer.
+func (l *Link) EndsByClose() bool { return l.reader.EndsByClose() }
+
+// Clean reports whether no byte lies past the answer just ended.
+func (l *Link) Clean() bool { return !l.reader.Pending() }
+
 // Reusable reports whether the link may carry another request after this answer. Bytes past an answer belong
 // to nobody; they must not be taken for the next one.
 func (l *Link) Reusable(a *Answer) bool { return a.KeepAlive && !l.reader.Pending() }
@@ -158,6 +188,15 @@
 // AppendRequest words a client's request for a host: unchanged but for the fields of the connection and the
 // time that is left.
 func AppendRequest(dst []byte, m *http1.Message, left time.Duration) []byte {
+	return http1.AppendRequest(dst, m.Method, m.Target, passed(m, left), m.Body)
+}
+
+// AppendHead words the head of a client's request whose body follows in pieces.
+func AppendHead(dst []byte, m *http1.Message, length int64, left time.Duration) []byte {
+	return http1.AppendRequestHead(dst, m.Method, m.Target, passed(m, left), length)
+}
+
+func passed(m *http1.Message, left time.Duration) []http1.Field {
 	fields := make([]http1.Field, 0, len(m.Fields)+2)
 	if _, hosts := m.Get("Host"); hosts == 0 {
 		fields = append(fields, http1.Field{Name: "Host"}) // HTTP/1.0 goes without, HTTP/1.1 must not
@@ -167,6 +206,5 @@
 			fields = append(fields, f)
 		}
 	}
-	fields = append(fields, http1.Field{Name: fieldDeadline, Value: strconv.FormatInt(max(left.Milliseconds(), 1), 10) + "m"})
-	return http1.AppendRequest(dst, m.Method, m.Target, fields, m.Body)
+	return append(fields, http1.Field{Name: fieldDeadline, Value: strconv.FormatInt(max(left.Milliseconds(), 1), 10) + "m"})
 }
