Hand the listener, idle links and what was learnt to the next process at an upgrade

Need: with SO_REUSEPORT alone the old listener's queue is reset when it closes, idle links close under clients, and both processes spend all descriptors and the same cold hosts' budgets.

Change: internal/handover words the messages; the loop listens and dials at Unix sockets and passes sockets beside data; handover.go divides descriptors and heap and gives every link over as it comes to rest. The module tells what it has learnt (Learned, Learn) and yields cold hosts (Yield). Cause of each fall-back is logged.

--- a/balancer.go
+++ b/balancer.go
@@ -85,6 +85,7 @@
 	members  []*server // those that this gateway uses, see choose
 	own, far []*server // places of the servers of its own zone and of the others
 	stale    bool      // members have to be chosen anew
+	yielded  bool      // another process of this gateway has the cold servers' budgets
 
 	classes []classState
 	tenants []tenantState
@@ -749,8 +750,8 @@
 // between two requests, or hundreds of first requests would push the server over.
 func (b *Balancer) coldRoom(s *server) bool {
 	cold := b.coldness(s)
-	if cold == 1 {
-		return true
+	if cold == 1 || b.yielded {
+		return cold == 1
 	}
 	rate := coldShare * b.cfg.FallMultiple * cold * b.warmRate / s.sharers
 	if b.warmRate == 0 {
--- a/cmd/thymebend/main.go
+++ b/cmd/thymebend/main.go
@@ -6,7 +6,6 @@
 	"math"
 	"os"
 	"runtime"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/rs/zerolog"
@@ -16,9 +15,6 @@
 	"thymebend/internal/loop"
 )
 
-// heapShare of the memory limit is the collector's; the rest is for stacks, sockets and the program itself.
-const heapShare = 0.6
-
 func main() {
 	log := zerolog.New(os.Stderr).With().Timestamp().Logger().Level(zerolog.InfoLevel)
 	if level, err := zerolog.ParseLevel(os.Getenv("LB_LOG")); err == nil && os.Getenv("LB_LOG") != "" {
@@ -37,7 +33,6 @@
 	}
 	log = log.With().Str("name", cfg.Name).Logger()
 	runtime.GOMAXPROCS(int(max(1, math.Floor(cfg.Limits.Cores))))
-	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB * heapShare * (1 << 20)))
 	l, err := loop.New(loop.NewClock())
 	if err != nil {
 		return err
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 
+	"thymebend/internal/handover"
 	"thymebend/internal/settings"
 )
 
@@ -24,6 +25,7 @@
 	Known     json.RawMessage // the host list as last had, in discovery's form; may be empty
 	Settings  settings.Settings
 	Path      string   // of the file, to be read again at a reload
+	Handover  string   // where the next process of this gateway asks; empty where there is no directory for it
 	fields    []string // what the file holds at its top
 }
 
@@ -51,7 +53,11 @@
 		return Config{}, fmt.Errorf("LB_CONFIG: %w", err)
 	}
 	told := Config{Name: getenv("LB_NAME"), Path: path}
-	return told.read(raw, getenv("LB_LISTEN"), getenv("LB_CONTROL"), getenv("LB_DISCOVERY"))
+	cfg, err := told.read(raw, getenv("LB_LISTEN"), getenv("LB_CONTROL"), getenv("LB_DISCOVERY"))
+	if dir := getenv("TMPDIR"); err == nil && dir != "" {
+		cfg.Handover = handover.Path(dir, cfg.Listen)
+	}
+	return cfg, err
 }
 
 // Reload reads the file's new text. The program keeps its name and its listening sockets; discovery is the
@@ -66,7 +72,7 @@
 	if err != nil {
 		return fresh, err
 	}
-	fresh.Control = c.Control // a listening socket is opened at the start only
+	fresh.Control, fresh.Handover = c.Control, c.Handover // listening sockets are opened at the start only
 	for _, field := range c.fields {
 		if !slices.Contains(fresh.fields, field) {
 			return fresh, fmt.Errorf("%s is missing, the file in force has it", field)
--- a/internal/gateway/fromclients.go
+++ b/internal/gateway/fromclients.go
@@ -14,10 +14,12 @@
 func (g *Gateway) listener(e loop.Event) {
 	switch e.Kind {
 	case loop.Listening:
-		g.listening = true
-		g.log.Info().Stringer("listen", g.cfg.Listen).Msg("taking clients")
+		g.takingClients()
 	case loop.Readable:
-		if !g.closed && len(g.links.ByConn) >= g.links.Most && !g.evict() {
+		if g.heirTakes {
+			return // told before the listener was muted
+		}
+		if !g.closed && len(g.links.ByConn) >= g.links.Most && (g.heir != nil || !g.evict()) {
 			g.pause()
 			return
 		}
@@ -46,7 +48,9 @@
 	if g.paused {
 		g.paused = false
 		g.stopTimer(timerAccept, 0)
-		g.ask(loop.Effect{Op: loop.Unmute, Conn: loop.Listener})
+		if !g.heirTakes {
+			g.ask(loop.Effect{Op: loop.Unmute, Conn: loop.Listener})
+		}
 	}
 }
 
@@ -131,7 +135,7 @@
 			g.awaitRest(l)
 			return
 		}
-		l.Closing = l.Closing || asked.Last || g.stopping
+		l.Closing = l.Closing || asked.Last || g.stopping && !g.heirTakes
 		g.take(l, asked)
 	}
 	if l.Busy && !l.Upload && l.Overfull() {
@@ -166,7 +170,7 @@
 		g.reply(l, clients.Faulty(asked.Fault, !l.Closing))
 		return
 	case asked.Health:
-		g.reply(l, clients.Health(g.group.Len() > 0 && !g.stopping, !l.Closing))
+		g.reply(l, clients.Health(g.group.Len() > 0 && (!g.stopping || g.heirTakes), !l.Closing))
 		return
 	case g.open[asked.Query.ID]:
 		// Two queries of one id could not be told apart at a host: the second would run in the first one's name.
@@ -238,7 +242,8 @@
 	}
 	g.unmute(l)
 	g.setTimer(timerClient, uint64(l.Conn), g.now+clients.IdleAfter)
-	if g.closed {
+	g.restless = true
+	if g.closed && !g.heirTakes {
 		g.lookAndClose(l)
 	}
 	g.advance(l)
--- a/internal/gateway/fromoperators.go
+++ b/internal/gateway/fromoperators.go
@@ -122,11 +122,14 @@
 }
 
 // ready reports whether this process takes clients.
-func (g *Gateway) ready() bool { return g.listening && !g.stopping }
+func (g *Gateway) ready() bool { return g.listening && !g.stopping && !g.heirTakes }
 
 func (g *Gateway) unready() string {
-	if g.stopping {
+	switch {
+	case g.stopping:
 		return "stopping"
+	case g.heirTakes:
+		return "the next process takes clients"
 	}
 	return "starting"
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"thymebend"
 	"thymebend/internal/clients"
 	"thymebend/internal/config"
+	"thymebend/internal/handover"
 	"thymebend/internal/hostgroup"
 	"thymebend/internal/loop"
 	"thymebend/internal/operators"
@@ -28,12 +29,14 @@
 	timerStop
 	timerMove
 	timerOperator
+	timerElder
+	timerHeir
 )
 
 // The budget of descriptors: a few are the program's own, the rest is shared out, so that neither a crowd of
 // clients nor slow hosts can take what the other side needs.
 const (
-	ownSockets  = 18 + operators.MostLinks
+	ownSockets  = 20 + operators.MostLinks
 	clientShare = 0.65
 )
 
@@ -104,6 +107,16 @@
 	accepted int                 // configurations taken at a reload
 	invalid  int                 // and turned down
 
+	elder      *handover.Link // the process that served before, while it lives
+	elderHolds int            // descriptors that it needs
+	heir       *handover.Link // the process that comes next
+	heirGiven  bool           // it has the listening socket
+	heirTakes  bool           // it takes clients: this one accepts none
+	restless   bool           // a client link may have come to rest since links were passed last
+	passing    []loop.Conn    // passed and not yet acknowledged
+	toldHolds  int            // what the heir was told last
+	heap       int64
+
 	ops       operators.Links
 	listening bool // clients can connect
 
@@ -120,17 +133,16 @@
 
 // New returns a gateway. Nothing happens before the first event.
 func New(cfg config.Config, log zerolog.Logger) *Gateway {
-	sockets := float64(cfg.Limits.Sockets - ownSockets)
-	inbound := int(sockets * clientShare)
-	return &Gateway{
+	g := &Gateway{
 		cfg: cfg, log: log,
 		queries: make(map[thymebend.RequestID]*query), open: make(map[string]bool),
 		former: make(map[string]formerly), tallies: make(map[string]*tally),
 		relays: make(map[loop.Conn]*relay),
 		byLink: make(map[loop.Conn]*execution), byID: make(map[uint64]*execution),
-		links: clients.NewLinks(inbound), pool: servers.NewPool(int(sockets) - inbound),
+		links: clients.NewLinks(0), pool: servers.NewPool(0),
 		group: hostgroup.New(cfg.Settings.Gateway.Zones),
 	}
+	return g
 }
 
 // Step is the reducer. The module is called here and nowhere else, never from one of its own actions.
@@ -160,6 +172,7 @@
 		if g.told {
 			g.ask(loop.Effect{Op: loop.Again})
 		}
+		g.passLinks()
 		g.exitIfDone()
 	}
 	return g.effects
@@ -197,8 +210,9 @@
 	if g.cfg.Control.IsValid() {
 		g.ask(loop.Effect{Op: loop.Listen, Conn: loop.Control, Addr: g.cfg.Control, Urgent: true})
 	}
-	g.ask(loop.Effect{Op: loop.Listen, Conn: loop.Listener, Addr: g.cfg.Listen})
+	g.resize()
 	g.told = true
+	defer g.meet()
 	if len(g.cfg.Known) == 0 {
 		g.module.List(g.now, thymebend.ListCached, nil)
 		return
@@ -216,9 +230,15 @@
 	case e.Kind == loop.Accepted && e.Via == loop.Control:
 		g.operatorCame(e.Conn)
 		return
+	case e.Kind == loop.Accepted && e.Via == loop.Handover:
+		g.newcomerCame(e.Conn)
+		return
 	case e.Kind == loop.Accepted:
 		g.clientCame(e.Conn)
 		return
+	case e.Conn == loop.Listener && e.Kind == loop.Broken && g.elder != nil:
+		g.loseElder(e.Err.Error())
+		return
 	case (e.Conn == loop.Listener || e.Conn == loop.Control) && e.Kind == loop.Broken:
 		g.log.Error().Err(e.Err).Msg("listen")
 		g.ask(loop.Effect{Op: loop.Exit, Failed: e.Err})
@@ -229,6 +249,15 @@
 	case e.Conn == loop.Control:
 		g.controlListener(e)
 		return
+	case e.Conn == loop.Handover:
+		g.handoverListener(e)
+		return
+	case g.elder != nil && e.Conn == g.elder.Conn:
+		g.elderEvent(e)
+		return
+	case g.heir != nil && e.Conn == g.heir.Conn:
+		g.heirEvent(e)
+		return
 	}
 	if l := g.ops.Find(e.Conn); l != nil {
 		g.operatorEvent(l, e)
@@ -276,6 +305,14 @@
 		if g.watch == nil || g.watch.Addr != g.cfg.Discovery {
 			g.move()
 		}
+	case timerElder:
+		if g.elder != nil {
+			g.loseElder("it does not answer")
+		}
+	case timerHeir:
+		if g.heir != nil {
+			g.loseHeir("it does not answer")
+		}
 	case timerOperator:
 		if l := g.ops.Find(loop.Conn(t.ID)); l != nil {
 			g.dropOperator(l)
--- /dev/null
+++ b/internal/gateway/handover.go
@@ -0,0 +1,323 @@
+package gateway
+
+import (
+	"time"
+
+	"thymebend"
+	"thymebend/internal/clients"
+	"thymebend/internal/handover"
+	"thymebend/internal/loop"
+)
+
+// heapShare of the memory limit is the collector's; the rest is for stacks, sockets and the program itself.
+const heapShare = 0.6
+
+// spareLinks to hosts are left to an elder beyond those that it has, for what it still holds.
+const spareLinks = 4
+
+// meet asks for what a process of this gateway that serves already has to give.
+func (g *Gateway) meet() {
+	if g.cfg.Handover == "" {
+		g.listen()
+		return
+	}
+	g.elder = &handover.Link{Conn: g.pool.NextConn()}
+	g.setTimer(timerElder, 0, g.now+handover.AnswerWithin)
+	g.ask(loop.Effect{Op: loop.Dial, Conn: g.elder.Conn, Path: g.cfg.Handover, Urgent: true})
+}
+
+// listen opens a listening socket of this process's own.
+func (g *Gateway) listen() {
+	g.ask(loop.Effect{Op: loop.Listen, Conn: loop.Listener, Addr: g.cfg.Listen})
+}
+
+// offer takes the place at which the next process of this gateway asks.
+func (g *Gateway) offer() {
+	if g.cfg.Handover != "" {
+		g.ask(loop.Effect{Op: loop.Listen, Conn: loop.Handover, Path: g.cfg.Handover, Urgent: true})
+	}
+}
+
+// takingClients notes that clients can connect.
+func (g *Gateway) takingClients() {
+	g.listening = true
+	g.log.Info().Stringer("listen", g.cfg.Listen).Bool("handed_over", g.elder != nil).Msg("taking clients")
+	if g.elder != nil {
+		g.say(g.elder, handover.Message{Kind: handover.Taking}, nil)
+	}
+	g.offer()
+}
+
+// say sends a message, with sockets beside it.
+func (g *Gateway) say(l *handover.Link, m handover.Message, give []loop.Conn) {
+	m.Passed = len(give)
+	data, err := m.Words()
+	if err != nil {
+		g.log.Error().Err(err).Msg("hand-over")
+		if l == g.heir {
+			g.loseHeir("a message cannot be worded")
+		}
+		return
+	}
+	op := loop.Write
+	if len(give) > 0 {
+		op = loop.Pass
+	}
+	g.ask(loop.Effect{Op: op, Conn: l.Conn, Data: data, Give: give})
+}
+
+// ---- the newcomer's side --------------------------------------------------------------------------------
+
+func (g *Gateway) elderEvent(e loop.Event) {
+	switch e.Kind {
+	case loop.Connected:
+		g.say(g.elder, handover.Message{Kind: handover.Hello, Listen: g.cfg.Listen.String()}, nil)
+	case loop.Readable:
+		g.ask(loop.Effect{Op: loop.Read, Conn: e.Conn})
+	case loop.Data:
+		g.elder.Feed(e.Data, e.Passed)
+		for g.elder != nil {
+			m, whole, err := g.elder.Next()
+			if err != nil {
+				g.loseElder(err.Error())
+				return
+			}
+			if !whole {
+				return
+			}
+			g.elderSays(m)
+		}
+	case loop.EOF:
+		g.loseElder("it has ended")
+	case loop.Broken:
+		g.loseElder(e.Err.Error())
+	}
+}
+
+func (g *Gateway) elderSays(m handover.Message) {
+	switch m.Kind {
+	case handover.State:
+		g.stopTimer(timerElder, 0)
+		g.inherit(m)
+		g.ask(loop.Effect{Op: loop.Adopt, Conn: m.Conns[0], As: loop.Listener})
+	case handover.Links:
+		for i, c := range m.Conns {
+			note := m.Links[i]
+			idle := time.Duration(note.IdleMS) * time.Millisecond
+			l := g.links.Add(c, g.now-idle)
+			l.Asked, l.Served, l.Began = note.Asked, note.Served, l.Since
+			left := clients.IdleAfter - idle
+			if !l.Asked {
+				left = clients.RequestWithin - idle
+			}
+			g.setTimer(timerClient, uint64(c), g.now+max(left, 0))
+			g.ask(loop.Effect{Op: loop.Unmute, Conn: c})
+		}
+		g.elderHolds = m.Holds
+		g.resize()
+		g.say(g.elder, handover.Message{Kind: handover.Got}, nil)
+	default:
+		g.loseElder("it says " + string(m.Kind) + ": " + m.Reason)
+	}
+}
+
+// inherit takes what the elder knows. Its list gives way to what discovery has told this process meanwhile.
+func (g *Gateway) inherit(m handover.Message) {
+	if len(m.List) > 0 && (g.watch == nil || !g.watch.Started()) {
+		news, err := g.group.Apply(m.List)
+		if err != nil {
+			g.log.Error().Err(err).Msg("the elder's list is not usable")
+		} else {
+			g.hostsLeft(news.Changed)
+			g.module.List(g.now, thymebend.ListCached, news.Entries)
+		}
+	}
+	if m.Learned != nil {
+		g.module.Learn(g.now, *m.Learned)
+	}
+	g.told = true
+	g.elderHolds = m.Holds
+	g.resize()
+}
+
+// loseElder ends what is between this process and its elder: the elder has gone, or cannot hand over.
+func (g *Gateway) loseElder(why string) {
+	g.log.Info().Str("why", why).Bool("taking_clients", g.listening).Msg("no elder process")
+	g.stopTimer(timerElder, 0)
+	for _, c := range g.elder.Unclaimed() {
+		g.close(c)
+	}
+	g.close(g.elder.Conn)
+	g.elder, g.elderHolds = nil, 0
+	g.resize()
+	if !g.listening && !g.stopping {
+		g.listen()
+	}
+}
+
+// ---- the elder's side -----------------------------------------------------------------------------------
+
+func (g *Gateway) handoverListener(e loop.Event) {
+	switch e.Kind {
+	case loop.Readable:
+		g.ask(loop.Effect{Op: loop.Accept, Conn: loop.Handover})
+	case loop.Broken:
+		g.log.Warn().Err(e.Err).Msg("the next process cannot be handed anything")
+	}
+}
+
+// newcomerCame hears one newcomer at a time. A second one is told so by the end of its link, and listens alone.
+func (g *Gateway) newcomerCame(c loop.Conn) {
+	if g.heir != nil {
+		g.close(c)
+		return
+	}
+	g.heir = &handover.Link{Conn: c}
+	g.setTimer(timerHeir, 0, g.now+handover.TakeWithin)
+}
+
+func (g *Gateway) heirEvent(e loop.Event) {
+	switch e.Kind {
+	case loop.Readable:
+		g.ask(loop.Effect{Op: loop.Read, Conn: e.Conn})
+	case loop.Data:
+		g.heir.Feed(e.Data, e.Passed)
+		for g.heir != nil {
+			m, whole, err := g.heir.Next()
+			if err != nil {
+				g.loseHeir(err.Error())
+				return
+			}
+			if !whole {
+				return
+			}
+			g.heirSays(m)
+		}
+	case loop.EOF:
+		g.loseHeir("it has ended")
+	case loop.Broken:
+		g.loseHeir(e.Err.Error())
+	}
+}
+
+func (g *Gateway) heirSays(m handover.Message) {
+	switch m.Kind {
+	case handover.Hello:
+		if m.Listen != g.cfg.Listen.String() || !g.listening || g.closed || g.heirTakes {
+			g.say(g.heir, handover.Message{Kind: handover.Bye, Reason: "no listening socket for " + m.Listen}, nil)
+			return
+		}
+		learned := g.module.Learned(g.now)
+		g.heirGiven = true
+		g.resize()
+		g.say(g.heir, handover.Message{Kind: handover.State, List: g.group.Words(), Learned: &learned, Holds: g.holds()},
+			[]loop.Conn{loop.Listener})
+	case handover.Taking:
+		if !g.heirGiven || g.heirTakes {
+			g.loseHeir("it takes what it was not given")
+			return
+		}
+		g.stopTimer(timerHeir, 0)
+		g.log.Info().Msg("the next process takes clients")
+		g.heirTakes, g.restless = true, true
+		g.close(loop.Handover)
+		g.ask(loop.Effect{Op: loop.Mute, Conn: loop.Listener})
+		g.module.Yield(g.now, true)
+		g.resize()
+		if g.stopping {
+			g.closeListener()
+		}
+	case handover.Got:
+		g.stopTimer(timerHeir, 0)
+		g.passing, g.restless = nil, true
+	default:
+		g.loseHeir("it says " + string(m.Kind))
+	}
+}
+
+// passLinks gives the heir the client links that rest, at the end of a round: what was read of a link has been told
+// by then, and what was not read goes along.
+func (g *Gateway) passLinks() {
+	if !g.heirTakes || !g.restless || len(g.passing) > 0 {
+		return
+	}
+	g.restless = false
+	var notes []handover.Idle
+	for _, l := range g.links.InOrder() {
+		if l.Busy || l.Ended || l.Muted || l.LastAsk || l.Pending() {
+			continue
+		}
+		if len(notes) == handover.Batch {
+			g.restless = true
+			break
+		}
+		notes = append(notes, handover.Idle{Asked: l.Asked, Served: l.Served, IdleMS: (g.now - l.Since).Milliseconds()})
+		g.passing = append(g.passing, l.Conn)
+		g.stopTimer(timerClient, uint64(l.Conn))
+		delete(g.links.ByConn, l.Conn)
+	}
+	g.resize()
+	if holds := g.holds(); len(notes) > 0 || holds != g.toldHolds {
+		g.toldHolds = holds
+		g.setTimer(timerHeir, 0, g.now+handover.TakeWithin)
+		g.say(g.heir, handover.Message{Kind: handover.Links, Links: notes, Holds: holds}, g.passing)
+	}
+}
+
+// loseHeir goes on alone: the newcomer has gone, or does not answer.
+func (g *Gateway) loseHeir(why string) {
+	g.log.Warn().Str("why", why).Bool("took_clients", g.heirTakes).Msg("no next process")
+	g.stopTimer(timerHeir, 0)
+	for _, c := range g.passing {
+		g.close(c) // those that were not passed after all
+	}
+	g.close(g.heir.Conn)
+	took := g.heirTakes
+	g.heir, g.passing, g.heirGiven, g.heirTakes, g.restless, g.toldHolds = nil, nil, false, false, false, 0
+	g.resize()
+	if !took {
+		return
+	}
+	g.module.Yield(g.now, false)
+	g.told = true
+	if g.stopping {
+		g.closeListener()
+		return
+	}
+	if !g.paused {
+		g.ask(loop.Effect{Op: loop.Unmute, Conn: loop.Listener})
+	}
+	g.offer()
+}
+
+// ---- what both share ------------------------------------------------------------------------------------
+
+// holds is how many descriptors of the limit this process and its elder need.
+func (g *Gateway) holds() int {
+	return ownSockets + len(g.links.ByConn) + g.pool.Most() + g.elderHolds
+}
+
+// resize divides the limits between the processes that serve: a newcomer that does not yet take clients has half, an
+// elder whose heir does may not grow.
+func (g *Gateway) resize() {
+	sockets := g.cfg.Limits.Sockets - g.elderHolds
+	if g.heir != nil {
+		sockets /= 2
+	}
+	sockets = max(sockets-ownSockets, 2*spareLinks)
+	inbound := int(float64(sockets) * clientShare)
+	g.links.Most = inbound
+	g.pool.Resize(sockets - inbound)
+	if g.heirTakes {
+		g.links.Most = len(g.links.ByConn)
+		g.pool.Resize(min(sockets-inbound, g.pool.Len()+spareLinks))
+	}
+	heap := g.cfg.Limits.MemoryMB * heapShare * (1 << 20)
+	if g.heir != nil || g.elder != nil {
+		heap /= 2
+	}
+	if int64(heap) != g.heap {
+		g.heap = int64(heap)
+		g.ask(loop.Effect{Op: loop.Heap, Bytes: g.heap})
+	}
+}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -19,6 +19,12 @@
 	}
 	g.log.Info().Int("queries", len(g.queries)).Msg("stopping")
 	g.stopping = true
+	if g.heirTakes {
+		// The next process takes clients, and the links after their answers: there is no one to wait for.
+		g.closed, g.restless = true, true
+		g.close(loop.Listener)
+		return
+	}
 	for _, l := range g.links.ByConn {
 		l.Closing = l.Closing || l.Busy
 	}
@@ -29,10 +35,17 @@
 // closeListener takes what still waits at the listener, then closes it and the idle client links.
 func (g *Gateway) closeListener() {
 	g.closed = true
-	g.ask(loop.Effect{Op: loop.Accept, Conn: loop.Listener})
+	if !g.heirTakes {
+		g.ask(loop.Effect{Op: loop.Accept, Conn: loop.Listener})
+	}
+	if g.heirTakes {
+		g.close(loop.Listener) // the queue is the next process's
+		return
+	}
 	for _, l := range g.links.InOrder() {
 		switch {
 		case l.Busy:
+			l.Closing = true
 		case l.Pending():
 			g.setTimer(timerClient, uint64(l.Conn), g.now+clients.LingerFor)
 		default:
@@ -43,7 +56,7 @@
 
 // exitIfDone ends the program once all that was taken is answered and every client has its answer.
 func (g *Gateway) exitIfDone() {
-	if g.closed && len(g.queries) == 0 && len(g.links.ByConn) == 0 {
+	if g.closed && len(g.queries) == 0 && len(g.links.ByConn) == 0 && len(g.passing) == 0 {
 		g.log.Info().Msg("stopped")
 		g.ask(loop.Effect{Op: loop.Exit})
 	}
--- a/internal/hostgroup/list.go
+++ b/internal/hostgroup/list.go
@@ -3,9 +3,11 @@
 package hostgroup
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math"
 	"net/netip"
 	"slices"
@@ -36,6 +38,26 @@
 // Find returns a host of the list, or nil.
 func (g *Group) Find(id thymebend.ServerID) *Host { return g.hosts[id] }
 
+// Words is the list as it is now, in discovery's form.
+func (g *Group) Words() json.RawMessage {
+	doc := document{Seq: &g.seq, Whole: true, Hosts: []entry{}}
+	for _, h := range slices.SortedFunc(maps.Values(g.hosts), func(a, b *Host) int { return cmp.Compare(a.Name, b.Name) }) {
+		e := entry{Host: h.Name, Dial: h.Dial.String(), Block: h.Cell, Health: "up", Born: float64(h.Born.Microseconds()) / 1000}
+		if h.State == thymebend.Draining {
+			e.Health = "draining"
+		}
+		if h.Zone < len(g.zones) {
+			e.Site = g.zones[h.Zone]
+		}
+		doc.Hosts = append(doc.Hosts, e)
+	}
+	raw, err := json.Marshal(doc)
+	if err != nil {
+		return nil // texts and numbers: cannot be; the other process goes on with the list that it knows
+	}
+	return raw
+}
+
 // Len is the number of hosts listed.
 func (g *Group) Len() int { return len(g.hosts) }
 
--- a/internal/lab/virtual/hunt_test.go
+++ b/internal/lab/virtual/hunt_test.go
@@ -30,7 +30,7 @@
 	fset := token.NewFileSet()
 	imports := importer.ForCompiler(fset, "source", nil)
 	for _, dir := range []string{".", "internal/gateway", "internal/clients", "internal/servers", "internal/hostgroup", "internal/http1",
-		"internal/operators",
+		"internal/operators", "internal/handover",
 		"internal/settings"} {
 		names, err := filepath.Glob(filepath.Join("../../..", dir, "*.go"))
 		if err != nil || len(names) == 0 {
--- a/internal/lab/virtual/loop.go
+++ b/internal/lab/virtual/loop.go
@@ -344,6 +344,8 @@
 	case loop.Again:
 		l.again = true
 		return
+	case loop.Heap:
+		return // memory is not simulated
 	case loop.Exit:
 		l.exited, l.failed = true, f.Failed
 		return
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 
 	"golang.org/x/sys/unix"
 )
@@ -27,6 +28,7 @@
 	connecting bool
 	muted      bool
 	urgent     bool
+	unix       bool   // a Unix socket, by which others are passed
 	armed      uint32 // events that epoll watches for
 	out        []byte // accepted for writing and not yet written
 }
@@ -203,11 +205,22 @@
 func (l *Loop) do(f Effect) {
 	switch f.Op {
 	case Dial:
-		l.dial(f)
+		if f.Path != "" {
+			l.dialUnix(f)
+		} else {
+			l.dial(f)
+		}
+		return
+	case Heap:
+		debug.SetMemoryLimit(f.Bytes)
 		return
 	case Listen:
-		if err := l.listen(f); err != nil {
-			l.tell(Event{Kind: Broken, Conn: f.Conn, Err: fmt.Errorf("listen on %v: %w", f.Addr, err)})
+		where, listen := f.Addr.String(), l.listen
+		if f.Path != "" {
+			where, listen = f.Path, l.listenUnix
+		}
+		if err := listen(f); err != nil {
+			l.tell(Event{Kind: Broken, Conn: f.Conn, Err: fmt.Errorf("listen on %s: %w", where, err)})
 		} else {
 			l.tell(Event{Kind: Listening, Conn: f.Conn})
 		}
@@ -240,6 +253,10 @@
 		l.read(s)
 	case Write:
 		l.write(s, f.Data)
+	case Pass:
+		l.pass(s, f)
+	case Adopt:
+		l.adopt(s, f.As)
 	case WriteQuiet:
 		if !quiet(s.fd) {
 			l.tell(Event{Kind: Stale, Conn: s.conn})
--- a/internal/loop/sockets.go
+++ b/internal/loop/sockets.go
@@ -81,10 +81,14 @@
 	for range mostAccept {
 		fd, _, err := unix.Accept4(s.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		switch {
+		case err == nil && s.unix && !own(fd):
+			_ = unix.Close(fd) // another user's
 		case err == nil:
-			noDelay(fd)
+			if !s.unix {
+				noDelay(fd)
+			}
 			l.accepted++
-			l.add(&socket{conn: l.accepted, fd: fd, urgent: s.urgent})
+			l.add(&socket{conn: l.accepted, fd: fd, urgent: s.urgent, unix: s.unix})
 			l.tell(Event{Kind: Accepted, Conn: l.accepted, Via: s.conn})
 		case errors.Is(err, unix.EAGAIN):
 			l.tell(Event{Kind: Drained, Conn: s.conn})
@@ -135,7 +139,12 @@
 	if l.bufInUse {
 		buf = make([]byte, readSize)
 	}
-	n, err := unix.Read(s.fd, buf)
+	n, passed, err := 0, []Conn(nil), error(nil)
+	if s.unix {
+		n, passed, err = l.receive(s, buf)
+	} else {
+		n, err = unix.Read(s.fd, buf)
+	}
 	switch {
 	case errors.Is(err, unix.EAGAIN), errors.Is(err, unix.EINTR):
 		l.tell(Event{Kind: Drained, Conn: s.conn})
@@ -145,7 +154,7 @@
 		l.tell(Event{Kind: EOF, Conn: s.conn})
 	default:
 		l.bufInUse = true
-		l.tell(Event{Kind: Data, Conn: s.conn, Data: buf[:n]})
+		l.tell(Event{Kind: Data, Conn: s.conn, Data: buf[:n], Passed: passed})
 	}
 }
 
--- a/internal/loop/types.go
+++ b/internal/loop/types.go
@@ -10,11 +10,13 @@
 // Conn names a socket. A number is never used twice, so that news of a closed socket cannot reach a later one.
 type Conn uint64
 
-// Listener is the socket that clients connect to, Control the one for operators. Accepted sockets are numbered by
+// Listener is the socket that clients connect to, Control the one for operators, Handover that for the next process
+// of this gateway. Accepted sockets are numbered by
 // the loop from firstAccepted on, dialled ones by the reducer from 1 on.
 const (
 	Listener      Conn = 0
 	Control       Conn = 1 << 62
+	Handover      Conn = 1<<62 + 1
 	firstAccepted Conn = 1 << 63
 )
 
@@ -57,7 +59,9 @@
 	Via   Conn // with Accepted: the listening socket that it came by
 	Timer Timer
 	Data  []byte
-	Err   error
+	// Passed, with Data on a Unix socket: sockets that came beside it, muted. Adopt makes one a listening socket.
+	Passed []Conn
+	Err    error
 }
 
 // Op says what an effect does.
@@ -66,8 +70,11 @@
 // The effects. Mute stops Readable events of a socket until Unmute, but for those of one that is broken. Again asks for one more Turn at once.
 const (
 	Accept Op = iota
-	Dial
-	Listen // at Addr, as Conn
+	Dial      // Addr, or Path as a Unix socket
+	Listen    // at Addr, or at Path as a Unix socket of mode 0600, as Conn
+	Pass      // writes Data on a Unix socket with the sockets of Give beside it, and closes those here but for Listener
+	Adopt     // makes the passed socket Conn the listening socket As
+	Heap      // bounds the program's heap softly, by Bytes
 	Read
 	Write
 	WriteQuiet
@@ -91,6 +98,9 @@
 	Addr   netip.AddrPort
 	Data   []byte
 	Path   string
+	Give   []Conn
+	As     Conn
+	Bytes  int64
 	Timer  Timer
 	At     time.Duration
 	Failed error // with Exit: what the program could not start for
--- /dev/null
+++ b/internal/loop/unix.go
@@ -0,0 +1,133 @@
+package loop
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"golang.org/x/sys/unix"
+)
+
+// mostPassed bounds the sockets passed beside one piece of data; the kernel's own bound is 253.
+const mostPassed = 128
+
+// own reports whether the other side of a Unix socket is a process of the same user. Guards against a stranger who
+// asks for the gateway's sockets, or offers some.
+func own(fd int) bool {
+	peer, err := unix.GetsockoptUcred(fd, unix.SOL_SOCKET, unix.SO_PEERCRED)
+	return err == nil && int(peer.Uid) == os.Getuid()
+}
+
+func openUnix() (int, error) {
+	return unix.Socket(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+}
+
+// listenUnix takes the place at a path, whoever had it: the socket is made beside it and renamed over it, so that
+// there is always one, and it cannot be reached before its mode is set.
+func (l *Loop) listenUnix(f Effect) error {
+	fd, err := openUnix()
+	if err != nil {
+		return err
+	}
+	beside := fmt.Sprintf("%s.%d", f.Path, os.Getpid())
+	_ = os.Remove(beside) // of a dead process with the same number, if there is one
+	if err = unix.Bind(fd, &unix.SockaddrUnix{Name: beside}); err == nil {
+		if err = os.Chmod(beside, 0o600); err == nil {
+			err = unix.Listen(fd, backlog)
+		}
+		if err == nil {
+			err = os.Rename(beside, f.Path)
+		}
+		if err != nil {
+			_ = os.Remove(beside)
+		}
+	}
+	if err != nil {
+		_ = unix.Close(fd) // never listened
+		return err
+	}
+	l.add(&socket{conn: f.Conn, fd: fd, urgent: f.Urgent, unix: true})
+	return nil
+}
+
+func (l *Loop) dialUnix(f Effect) {
+	fd, err := openUnix()
+	if err == nil {
+		if err = unix.Connect(fd, &unix.SockaddrUnix{Name: f.Path}); err == nil && !own(fd) {
+			err = unix.EPERM
+		}
+		if err != nil {
+			_ = unix.Close(fd) // never connected
+		}
+	}
+	if err != nil {
+		l.tell(Event{Kind: Broken, Conn: f.Conn, Err: err})
+		return
+	}
+	l.add(&socket{conn: f.Conn, fd: fd, urgent: f.Urgent, unix: true})
+	l.tell(Event{Kind: Connected, Conn: f.Conn})
+}
+
+// pass writes data with sockets beside its first byte. Where that fails, the sockets stay here.
+func (l *Loop) pass(s *socket, f Effect) {
+	var fds []int
+	for _, c := range f.Give {
+		if given := l.byConn[c]; given != nil {
+			fds = append(fds, given.fd)
+		}
+	}
+	if len(fds) != len(f.Give) || len(s.out) > 0 || !s.unix {
+		l.fail(s, errors.New("sockets to pass are gone, or earlier data is not yet written"))
+		return
+	}
+	n, err := unix.SendmsgN(s.fd, f.Data, unix.UnixRights(fds...), nil, unix.MSG_NOSIGNAL)
+	if err != nil {
+		l.fail(s, err)
+		return
+	}
+	for _, c := range f.Give {
+		if c != Listener {
+			l.remove(l.byConn[c])
+		}
+	}
+	l.write(s, f.Data[n:])
+}
+
+// receive reads from a Unix socket, with the sockets that come beside.
+func (l *Loop) receive(s *socket, buf []byte) (n int, passed []Conn, err error) {
+	beside := make([]byte, unix.CmsgSpace(4*mostPassed))
+	n, at, _, _, err := unix.Recvmsg(s.fd, buf, beside, unix.MSG_CMSG_CLOEXEC)
+	if err != nil || at == 0 {
+		return n, nil, err
+	}
+	parts, err := unix.ParseSocketControlMessage(beside[:at])
+	if err != nil {
+		return n, nil, err
+	}
+	for i := range parts {
+		fds, err := unix.ParseUnixRights(&parts[i])
+		if err != nil {
+			continue // not sockets
+		}
+		for _, fd := range fds {
+			l.accepted++
+			l.add(&socket{conn: l.accepted, fd: fd, muted: true})
+			passed = append(passed, l.accepted)
+		}
+	}
+	return n, passed, nil
+}
+
+// adopt makes a passed socket a listening one of this process.
+func (l *Loop) adopt(s *socket, as Conn) {
+	if accepts, err := unix.GetsockoptInt(s.fd, unix.SOL_SOCKET, unix.SO_ACCEPTCONN); err != nil || accepts == 0 || l.byConn[as] != nil {
+		l.remove(s)
+		l.tell(Event{Kind: Broken, Conn: as, Err: errors.New("the socket passed does not listen")})
+		return
+	}
+	delete(l.byConn, s.conn)
+	s.conn, s.muted = as, false
+	l.byConn[as] = s
+	l.arm(s)
+	l.tell(Event{Kind: Listening, Conn: as})
+}
--- a/internal/servers/pool.go
+++ b/internal/servers/pool.go
@@ -99,6 +99,15 @@
 	return &Pool{links: make(map[loop.Conn]*Link), idle: make(map[thymebend.ServerID][]*Link), most: most}
 }
 
+// Resize changes how many links there may be. Those that are too many go as they end, or give way.
+func (p *Pool) Resize(most int) { p.most = most }
+
+// Most is how many links there may be, or are.
+func (p *Pool) Most() int { return max(p.most, len(p.links)) }
+
+// Len is how many links there are.
+func (p *Pool) Len() int { return len(p.links) }
+
 // Find returns the link of a connection, or nil.
 func (p *Pool) Find(c loop.Conn) *Link { return p.links[c] }
 
--- a/state.go
+++ b/state.go
@@ -1,11 +1,12 @@
 package thymebend
 
 import (
+	"math"
 	"slices"
 	"time"
 )
 
-// This file carries state over: to new settings. It takes no decisions; what it keeps and what it drops is stated
+// This file carries state over: to new settings, and to another process of the same gateway. It takes no decisions; what it keeps and what it drops is stated
 // at each function.
 
 // placeFree is how long the place of a class that left the settings is not given to another: requests worded for it
@@ -116,3 +117,114 @@
 	}
 	return n
 }
+
+// Learned is what one process of a gateway hands to the next: what it has learnt, and the spent budgets of cold
+// servers, which both must not spend.
+type Learned struct {
+	Psi      float64         `json:"psi"`
+	Response float64         `json:"response"`
+	WarmRate float64         `json:"warm_rate"`
+	Classes  []LearnedClass  `json:"classes"`
+	Servers  []LearnedServer `json:"servers"`
+}
+
+// LearnedClass is what is known of one class. Times are in ms.
+type LearnedClass struct {
+	Name       string        `json:"name"`
+	Answers    int           `json:"answers"`
+	ServiceMS  float64       `json:"service_ms"`
+	SpreadMS   float64       `json:"spread_ms"`
+	ServedOf   int           `json:"served_of"`
+	Served     float64       `json:"served"`
+	Arrivals   float64       `json:"arrivals"`
+	Patience   time.Duration `json:"patience_ns"`
+	PatienceBy int           `json:"patience_by"`
+}
+
+// LearnedServer is what is known of one start of one server.
+type LearnedServer struct {
+	ID         ServerID      `json:"id,string"`
+	Born       time.Duration `json:"born_ns"`
+	Limit      float64       `json:"limit"`
+	Gain       float64       `json:"gain"`
+	BaseMS     float64       `json:"base_ms"`
+	Answers    int           `json:"answers"`
+	ServiceMS  float64       `json:"service_ms"`
+	FailShare  float64       `json:"fail_share"`
+	Ejected    bool          `json:"ejected"`
+	Silent     bool          `json:"silent"`
+	Ejections  int           `json:"ejections"`
+	TrialIn    time.Duration `json:"trial_in_ns"`
+	ColdTokens float64       `json:"cold_tokens"`
+}
+
+// Learned tells what is learnt so far.
+func (b *Balancer) Learned(now time.Duration) Learned {
+	b.now = now
+	out := Learned{Psi: b.psi, Response: b.response, WarmRate: b.warmRate}
+	for c := range b.current {
+		out.Classes = append(out.Classes, LearnedClass{Name: c.Name, Answers: c.service.n, ServiceMS: c.service.mean,
+			SpreadMS: c.spread.mean, ServedOf: c.served.n, Served: c.served.mean, Arrivals: c.arrivals, Patience: c.patience,
+			PatienceBy: c.agreed})
+	}
+	for _, s := range b.servers {
+		out.Servers = append(out.Servers, LearnedServer{ID: s.ID, Born: s.Born, Limit: s.u, Gain: s.gain, BaseMS: s.base,
+			Answers: s.smooth.n, ServiceMS: s.smooth.mean, FailShare: s.failShare, Ejected: s.ejected, Silent: s.silent,
+			Ejections: s.ejections, TrialIn: max(0, s.trialAt-now), ColdTokens: s.coldTokens})
+	}
+	return out
+}
+
+// Learn takes what another process of this gateway had learnt, after its list. Servers and classes that are not known
+// here are passed over, and so are figures that no run of this module gives.
+func (b *Balancer) Learn(now time.Duration, in Learned) {
+	b.now = now
+	if sane(in.Psi, in.Response, in.WarmRate) && in.Response >= minResponse {
+		b.psi, b.response, b.warmRate = clamp(in.Psi, 0, maxPsi), min(in.Response, 1), in.WarmRate
+	}
+	for _, l := range in.Classes {
+		for c := range b.current {
+			if c.Name == l.Name && l.Answers >= 0 && l.ServedOf >= 0 && sane(l.ServiceMS, l.SpreadMS, l.Served, l.Arrivals) {
+				c.service, c.spread = average{l.Answers, l.ServiceMS}, average{l.Answers, l.SpreadMS}
+				c.served, c.arrivals = average{l.ServedOf, min(l.Served, 1)}, l.Arrivals
+				c.patience, c.agreed = l.Patience, min(l.PatienceBy, mostAgreed)
+			}
+		}
+	}
+	if b.stale {
+		b.choose()
+	}
+	for _, l := range in.Servers {
+		s := b.byID[l.ID]
+		if s == nil || s.Born != l.Born || l.Answers < 0 || !sane(l.Limit, l.Gain, l.BaseMS, l.ServiceMS, l.FailShare) ||
+			!sane(math.Abs(l.ColdTokens)) {
+			continue
+		}
+		s.u, s.gain, s.base = max(s.startLimit(), l.Limit), l.Gain, l.BaseMS
+		s.smooth, s.failShare = average{l.Answers, l.ServiceMS}, min(l.FailShare, 1)
+		s.ejected, s.silent, s.ejections, s.trialAt = l.Ejected, l.Silent, l.Ejections, now+l.TrialIn
+		s.coldTokens, s.coldAt = l.ColdTokens, now
+	}
+	b.mean = b.averageClass()
+	b.setHolds()
+	b.stale = true
+}
+
+// sane holds figures from outside to what can be reckoned with.
+func sane(figures ...float64) bool {
+	for _, x := range figures {
+		if !(x >= 0 && x < 1e9) {
+			return false
+		}
+	}
+	return true
+}
+
+// Yield has cold servers get nothing more from here, for another process of this gateway has their budgets; or, if
+// that has died, something again. What it had spent is not known: the budgets start anew from nothing.
+func (b *Balancer) Yield(now time.Duration, yes bool) {
+	b.now, b.yielded = now, yes
+	for _, s := range b.servers {
+		s.coldTokens, s.coldAt = min(s.coldTokens, 0), now
+	}
+}
