Find the client link that gives way in constant time, by progress and age

Need: each accept of a crowd walked over all client links, 64 were accepted at a time past the clients' share (144 to 166 of 192 descriptors, the share is 105), and since bodies have time of their own a half-read link no longer gave way at all (clientTimer renewed it: fromclients.go evict).

Change: five queues in clients.Links; accepts are bounded by the room. A stop goes on accepting what waits while links are short, for 0.7 s.

--- /dev/null
+++ b/cmd/thymebend/crowd_test.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Thousands connect and never finish a request, with few descriptors and little memory, and a stop in the middle. Each
+// true request has a new link, and some are written slowly: all are answered, and so is the second address.
+func TestCrowdThatNeverFinishes(t *testing.T) {
+	control := freePort(t)
+	g := start(t, map[string]any{"control": control, "limits": map[string]any{"cores": 1, "memory_mb": 32, "sockets": 192}}, newHost(t, "s-1", ok))
+	ask(t, g.dial(), view("first", 1500)) // the patience of the others
+	var stop atomic.Bool
+	var crowd, trueOnes sync.WaitGroup
+	var came, served atomic.Int64
+	for i := range 4 {
+		crowd.Go(func() {
+			var held []net.Conn
+			for n := 0; !stop.Load() && n < 1500; n++ {
+				c, err := net.DialTimeout("tcp", g.addr, 100*time.Millisecond)
+				if err != nil {
+					continue
+				}
+				came.Add(1)
+				if (n+i)%2 == 0 {
+					fmt.Fprint(c, "GET /view/x HTTP/1.1\r\nHost: o\r\nX-Tra")
+				}
+				if held = append(held, c); len(held) > 200 { // most stay
+					held[0].Close()
+					held = held[1:]
+				}
+				time.Sleep(time.Millisecond)
+			}
+			for _, c := range held {
+				c.Close()
+			}
+		})
+	}
+	request := func(i int, slow time.Duration) {
+		trueOnes.Go(func() {
+			c, err := net.Dial("tcp", g.addr)
+			if err != nil {
+				t.Errorf("request %d: %v", i, err)
+				return
+			}
+			defer c.Close()
+			raw := view(fmt.Sprint("v", i), 1500)
+			for n := 0; n < len(raw) && slow > 0; n += 10 { // written in pieces
+				fmt.Fprint(c, raw[:10])
+				raw = raw[10:]
+				time.Sleep(slow / 14)
+			}
+			status, _, _ := ask(t, c, raw)
+			if status == 200 {
+				served.Add(1)
+			} else {
+				t.Errorf("request %d (slow %v): %d", i, slow, status)
+			}
+		})
+	}
+	for i := range 100 {
+		request(i, time.Duration(i%5)*250*time.Millisecond)
+		if i%20 == 0 {
+			began := time.Now()
+			stats(t, control)
+			if took := time.Since(began); took > time.Second {
+				t.Errorf("stats took %v", took)
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if err := g.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	for i := 100; i < 105; i++ {
+		request(i, 0)
+	}
+	trueOnes.Wait()
+	stop.Store(true)
+	crowd.Wait()
+	if code := g.exit(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+	t.Logf("%d of the crowd came, %d true requests served, %d MB at the highest", came.Load(), served.Load(), g.cmd.ProcessState.SysUsage().(*syscall.Rusage).Maxrss/1024)
+}
+
+// Half-read requests that have stood still give way to what waits, long before their time is over; one that goes on
+// coming does not.
+func TestHalfReadRequestsGiveWayByProgress(t *testing.T) {
+	g := start(t, map[string]any{"limits": map[string]any{"cores": 1, "memory_mb": 32, "sockets": 192}}, newHost(t, "s-1", ok))
+	ask(t, g.dial(), view("first", 1500))
+	slow, raw := g.dial(), view("slow", 1500)
+	done := make(chan int)
+	go func() {
+		for ; len(raw) > 10; raw = raw[10:] {
+			fmt.Fprint(slow, raw[:10])
+			time.Sleep(100 * time.Millisecond)
+		}
+		status, _, _ := ask(t, slow, raw)
+		done <- status
+	}()
+	for range 300 {
+		fmt.Fprint(g.dial(), "GET /view/x HTTP/1.1\r\nHost: o\r\nX-Tra")
+	}
+	// A crowd must not take the descriptors that hosts and operators are to have: 105 of these 192 are the clients'.
+	if fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", g.cmd.Process.Pid)); err != nil || len(fds) > 135 {
+		t.Errorf("%d descriptors: %v", len(fds), err)
+	}
+	began := time.Now()
+	if status, _, _ := ask(t, g.dial(), view("behind", 1500)); status != 200 {
+		t.Errorf("the request behind the crowd: %d", status)
+	}
+	if took := time.Since(began); took > 2400*time.Millisecond {
+		t.Errorf("the request behind the crowd took %v", took)
+	}
+	if status := <-done; status != 200 {
+		t.Errorf("the request that went on coming: %d", status)
+	}
+}
--- a/internal/clients/link.go
+++ b/internal/clients/link.go
@@ -1,9 +1,6 @@
 package clients
 
 import (
-	"cmp"
-	"maps"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -31,6 +28,8 @@
 	StandsFor = 5 * time.Second
 	// FirstSoon is how soon a client that connects for a request usually sends it.
 	FirstSoon = 500 * time.Millisecond
+	// GoesOnWithin is how soon the next piece of a request usually comes, from a client that writes slowly.
+	GoesOnWithin = 700 * time.Millisecond
 	// TakenWithin is how long an answer may take to be written out.
 	TakenWithin = 10 * time.Second
 	// LingerFor is how long the end of a link waits for the client's own; where the client is still sending a body
@@ -56,12 +55,19 @@
 	Drop    bool          // what still comes is of a body that nobody wants
 	Began   time.Duration // of the request that is coming
 	Came    int           // bytes of it
+	heard   time.Duration // last byte
+	queue   *queue        // that it stands in
+	before  *Link
+	after   *Link
 	reader  http1.Reader
 	large   *Asked // the request under way, whose body is too large to be held
 }
 
 // Feed takes what the client wrote.
-func (l *Link) Feed(data []byte) { l.reader.Feed(data) }
+func (l *Link) Feed(now time.Duration, data []byte) {
+	l.heard = now
+	l.reader.Feed(data)
+}
 
 // Asked is what a client asks: a query, a look at the gateway's health, or what cannot be made out.
 type Asked struct {
@@ -151,48 +157,6 @@
 // Continue asks for the body.
 func Continue() []byte { return []byte("HTTP/1.1 100 Continue\r\n\r\n") }
 
-// Links are the client links.
-type Links struct {
-	ByConn map[loop.Conn]*Link
-	Most   int
-}
-
-// NewLinks returns room for so many links.
-func NewLinks(most int) *Links { return &Links{ByConn: make(map[loop.Conn]*Link), Most: most} }
-
-// InOrder returns the links, oldest first. Maps are walked in no order; the same events must have the same effects.
-func (s *Links) InOrder() []*Link {
-	return slices.SortedFunc(maps.Values(s.ByConn), func(a, b *Link) int { return cmp.Compare(a.Conn, b.Conn) })
-}
-
-// Before reports whether l gives way before m where links run short. Guards against crowds that ask once, or
-// never, and stay. Silent links go first, then those that brought a query; those that are young or have only
-// asked for health go last, as their first query is to come and would be lost with them. Of those alike the one
-// goes that was used least lately.
-func (l *Link) Before(m *Link, now time.Duration) bool {
-	if m == nil || l.hold(now) != m.hold(now) {
-		return m == nil || l.hold(now) < m.hold(now)
-	}
-	return l.Since < m.Since || l.Since == m.Since && l.Conn < m.Conn
-}
-
-func (l *Link) hold(now time.Duration) int {
-	switch {
-	case l.Served:
-		return 1
-	case !l.Asked && now-l.Since >= FirstSoon:
-		return 0
-	}
-	return 2
-}
-
-// Add takes a new client link.
-func (s *Links) Add(c loop.Conn, now time.Duration) *Link {
-	l := &Link{Conn: c, Since: now}
-	s.ByConn[c] = l
-	return l
-}
-
 // Served words a host's answer for the client.
 func Served(fields []http1.Field, body []byte, keepAlive bool) []byte {
 	return http1.AppendResponse(nil, 200, fields, body, keepAlive)
--- /dev/null
+++ b/internal/clients/links.go
@@ -0,0 +1,113 @@
+package clients
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"thymebend/internal/loop"
+)
+
+// Links are the client links. Those that may give way where links run short stand in queues, so that the one that
+// does is found, and every change made, in constant time: a crowd of thousands must not cost a walk for each accept.
+type Links struct {
+	ByConn map[loop.Conn]*Link
+	Most   int
+	// Nothing has come yet, by their accept; a first request is half read, by its last byte; at rest after a query; a
+	// later request is half read; at rest after looks at the health alone: the first query is to come.
+	fresh, halfFirst, rested, halfLater, looked queue
+}
+
+// NewLinks returns room for so many links.
+func NewLinks(most int) *Links { return &Links{ByConn: make(map[loop.Conn]*Link), Most: most} }
+
+// InOrder returns the links, oldest first. Maps are walked in no order; the same events must have the same effects.
+func (s *Links) InOrder() []*Link {
+	return slices.SortedFunc(maps.Values(s.ByConn), func(a, b *Link) int { return cmp.Compare(a.Conn, b.Conn) })
+}
+
+// Add takes a new client link.
+func (s *Links) Add(c loop.Conn, now time.Duration) *Link {
+	l := &Link{Conn: c, Since: now, Began: now, heard: now}
+	s.ByConn[c] = l
+	s.Place(l)
+	return l
+}
+
+// Remove forgets a link.
+func (s *Links) Remove(l *Link) {
+	delete(s.ByConn, l.Conn)
+	l.leave()
+}
+
+// Place has a link stand where it belongs, behind those that stood there before. It is to be called when the link has
+// changed: a request came or a part of one, an answer was written, it is looked at once more.
+func (s *Links) Place(l *Link) {
+	l.leave()
+	switch {
+	case l.Busy, l.Ended, l.LastAsk:
+	case l.Pending() && l.Asked:
+		s.halfLater.add(l)
+	case l.Pending():
+		s.halfFirst.add(l)
+	case l.Served:
+		s.rested.add(l)
+	case l.Asked:
+		s.looked.add(l)
+	default:
+		s.fresh.add(l)
+	}
+}
+
+// GivesWay returns the link that gives way first where links run short, or nil if none may. Guards against crowds that
+// connect and ask nothing, ask once and stay, or never end a request. Those that have said nothing for FirstSoon go
+// first, then those at rest, which costs their clients a new connection and no request, then those whose
+// request has stood still for GoesOnWithin. Those that are young or have only asked for health go last, as their first query is
+// to come and would be lost with them. A request that goes on coming is never cut.
+func (s *Links) GivesWay(now time.Duration) *Link {
+	quiet := func(q *queue, since time.Duration) bool { return q.head != nil && now-q.head.heard >= since }
+	switch {
+	case quiet(&s.fresh, FirstSoon):
+		return s.fresh.head
+	case s.rested.head != nil:
+		return s.rested.head
+	case quiet(&s.halfFirst, GoesOnWithin):
+		return s.halfFirst.head
+	case quiet(&s.halfLater, GoesOnWithin):
+		return s.halfLater.head
+	case s.looked.head != nil:
+		return s.looked.head
+	}
+	return s.fresh.head
+}
+
+// queue is a list of links, the one that came first at its head.
+type queue struct{ head, tail *Link }
+
+func (q *queue) add(l *Link) {
+	l.queue, l.before = q, q.tail
+	if q.tail == nil {
+		q.head = l
+	} else {
+		q.tail.after = l
+	}
+	q.tail = l
+}
+
+func (l *Link) leave() {
+	if l.queue == nil {
+		return
+	}
+	if l.before == nil {
+		l.queue.head = l.after
+	} else {
+		l.before.after = l.after
+	}
+	if l.after == nil {
+		l.queue.tail = l.before
+	} else {
+		l.after.before = l.before
+	}
+	l.queue, l.before, l.after = nil, nil, nil
+}
--- a/internal/gateway/fromclients.go
+++ b/internal/gateway/fromclients.go
@@ -11,6 +11,9 @@
 // acceptPause is how long the listener rests when there is no descriptor left, unless a link closes before.
 const acceptPause = 50 * time.Millisecond
 
+// acceptRoom is how many links give way at once for those that wait.
+const acceptRoom = 4
+
 func (g *Gateway) listener(e loop.Event) {
 	switch e.Kind {
 	case loop.Listening:
@@ -19,25 +22,34 @@
 		if g.heirTakes {
 			return // told before the listener was muted
 		}
-		if !g.closed && len(g.links.ByConn) >= g.links.Most && (g.heir != nil || !g.evict()) {
-			g.pause()
-			return
-		}
-		g.ask(loop.Effect{Op: loop.Accept, Conn: loop.Listener})
+		g.accept()
 	case loop.Drained:
 		if g.closed {
-			g.close(loop.Listener)
+			g.endListener()
 		}
 	case loop.AcceptFailed:
 		g.log.Warn().Err(e.Err).Msg("accept")
-		g.evict()
+		g.makeRoom(g.links.Most - len(g.links.ByConn) + 1)
 		g.pause()
 	}
 }
 
+// accept takes what may come of those that wait. What there is no room for waits on, unread.
+func (g *Gateway) accept() {
+	room := g.links.Most - len(g.links.ByConn)
+	if room <= 0 && g.heir == nil { // with an heir links are about to go over, and none is to be closed for that
+		room = g.makeRoom(acceptRoom)
+	}
+	if room <= 0 {
+		g.pause()
+		return
+	}
+	g.ask(loop.Effect{Op: loop.Accept, Conn: loop.Listener, Most: room})
+}
+
 // pause stops looking at the listener. Guards against spinning while connections wait that cannot be taken.
 func (g *Gateway) pause() {
-	if !g.paused && !g.closed {
+	if !g.paused && !g.drained {
 		g.paused = true
 		g.ask(loop.Effect{Op: loop.Mute, Conn: loop.Listener})
 		g.setTimer(timerAccept, 0, g.now+acceptPause)
@@ -54,32 +66,27 @@
 	}
 }
 
-// evict makes room by closing an idle client link, see Before, or else the one that has been sending its
-// first request for longest: a crowd that never ends its heads must not hold what good clients need.
-func (g *Gateway) evict() bool {
-	var idle, halfway *clients.Link
-	for _, l := range g.links.ByConn {
+// makeRoom has client links give way until so many may come, and returns how many may.
+func (g *Gateway) makeRoom(wanted int) int {
+	room := g.links.Most - len(g.links.ByConn)
+	for ; room < wanted; room++ {
+		l := g.links.GivesWay(g.now)
 		switch {
-		case l.Busy || l.Ended:
-		case !l.Pending():
-			if l.Before(idle, g.now) {
-				idle = l
-			}
-		case !l.Asked && (halfway == nil || l.Conn < halfway.Conn):
-			halfway = l
+		case l == nil:
+			return room
+		case l.Pending():
+			// What has come was read: the answer goes out with the close.
+			g.write(l.Conn, clients.TooSlow())
+			g.dropClient(l, EndClientSlow)
+		default:
+			g.lookAndClose(l)
 		}
 	}
-	switch {
-	case idle != nil:
-		g.lookAndClose(idle)
-	case halfway != nil:
-		g.clientTimer(halfway.Conn)
-	}
-	return idle != nil
+	return room
 }
 
 func (g *Gateway) clientCame(c loop.Conn) {
-	g.links.Add(c, g.now).Began = g.now
+	g.links.Add(c, g.now)
 	patience := clients.RequestWithin
 	if g.closed {
 		patience = clients.LingerFor // its request is on the way, or never comes
@@ -104,7 +111,7 @@
 			}
 			return
 		}
-		l.Feed(e.Data)
+		l.Feed(g.now, e.Data)
 		if l.Upload {
 			g.setTimer(timerClient, uint64(l.Conn), g.now+clients.StandsFor)
 			g.pumpUpload(g.queries[l.Query])
@@ -125,6 +132,9 @@
 	case loop.Flushed:
 		g.flushed(l)
 	}
+	if g.links.ByConn[l.Conn] == l {
+		g.links.Place(l)
+	}
 }
 
 // advance takes the next request of a link, if it is whole and none is in work.
@@ -243,6 +253,7 @@
 	g.unmute(l)
 	g.setTimer(timerClient, uint64(l.Conn), g.now+clients.IdleAfter)
 	g.restless = true
+	g.links.Place(l)
 	if g.closed && !g.heirTakes {
 		g.lookAndClose(l)
 	}
@@ -252,11 +263,19 @@
 // lookAndClose closes an idle link after one more look: a request that lies in it unread would be lost.
 func (g *Gateway) lookAndClose(l *clients.Link) {
 	l.LastAsk = true
+	g.links.Place(l)
 	g.ask(loop.Effect{Op: loop.Read, Conn: l.Conn})
 }
 
 func (g *Gateway) clientTimer(c loop.Conn) {
 	l := g.links.ByConn[c]
+	if l != nil {
+		defer func() {
+			if g.links.ByConn[c] == l {
+				g.links.Place(l)
+			}
+		}()
+	}
 	switch {
 	case l == nil:
 	case l.Ended:
@@ -284,7 +303,7 @@
 func (g *Gateway) dropClient(l *clients.Link, end End) {
 	g.log.Debug().Uint64("link", uint64(l.Conn)).Stringer("end", end).Msg("client link")
 	g.stopTimer(timerClient, uint64(l.Conn))
-	delete(g.links.ByConn, l.Conn)
+	g.links.Remove(l)
 	if r := g.relays[l.Conn]; r != nil {
 		// Half an answer is out: the client must be able to tell, however it is framed.
 		g.forgetRelay(r, faulted)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -128,7 +128,8 @@
 	lost     bool             // the watch ended; the module is told once it has returned
 	paused   bool             // the listener is muted
 	stopping bool
-	closed   bool // the listener is closed
+	closed   bool // nothing new is taken but what waits at the listener
+	drained  bool // the listener is closed
 }
 
 // New returns a gateway. Nothing happens before the first event.
@@ -320,6 +321,10 @@
 	case timerAccept:
 		g.resume()
 	case timerStop:
-		g.closeListener()
+		if g.closed {
+			g.endListener()
+		} else {
+			g.closeListener()
+		}
 	}
 }
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -105,7 +105,8 @@
 			note := m.Links[i]
 			idle := time.Duration(note.IdleMS) * time.Millisecond
 			l := g.links.Add(c, g.now-idle)
-			l.Asked, l.Served, l.Began = note.Asked, note.Served, l.Since
+			l.Asked, l.Served = note.Asked, note.Served
+			g.links.Place(l)
 			left := clients.IdleAfter - idle
 			if !l.Asked {
 				left = clients.RequestWithin - idle
@@ -254,7 +255,7 @@
 		notes = append(notes, handover.Idle{Asked: l.Asked, Served: l.Served, IdleMS: (g.now - l.Since).Milliseconds()})
 		g.passing = append(g.passing, l.Conn)
 		g.stopTimer(timerClient, uint64(l.Conn))
-		delete(g.links.ByConn, l.Conn)
+		g.links.Remove(l)
 	}
 	g.resize()
 	if holds := g.holds(); len(notes) > 0 || holds != g.toldHolds {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -11,6 +11,9 @@
 // What comes later than 0.7 s would have to be answered before a SIGKILL that may come too soon.
 const acceptAfterStop = 550 * time.Millisecond
 
+// drainWithin is how long after that what waits at the listener may take to be accepted, where links are short.
+const drainWithin = 700 * time.Millisecond
+
 // stop begins a planned end. Every answer from now on ends its link; idle links stay open while the front may
 // still bring new ones, for a client whose link closes would only come back here.
 func (g *Gateway) stop() {
@@ -22,7 +25,7 @@
 	if g.heirTakes {
 		// The next process takes clients, and the links after their answers: there is no one to wait for.
 		g.closed, g.restless = true, true
-		g.close(loop.Listener)
+		g.endListener()
 		return
 	}
 	for _, l := range g.links.ByConn {
@@ -35,13 +38,12 @@
 // closeListener takes what still waits at the listener, then closes it and the idle client links.
 func (g *Gateway) closeListener() {
 	g.closed = true
-	if !g.heirTakes {
-		g.ask(loop.Effect{Op: loop.Accept, Conn: loop.Listener})
-	}
-	if g.heirTakes {
-		g.close(loop.Listener) // the queue is the next process's
+	if g.heirTakes || !g.listening {
+		g.endListener() // the queue is the next process's, or there is none
 		return
 	}
+	g.accept()
+	g.setTimer(timerStop, 0, g.now+drainWithin)
 	for _, l := range g.links.InOrder() {
 		switch {
 		case l.Busy:
@@ -54,9 +56,16 @@
 	}
 }
 
+// endListener closes the listener for good.
+func (g *Gateway) endListener() {
+	g.drained = true
+	g.stopTimer(timerStop, 0)
+	g.close(loop.Listener)
+}
+
 // exitIfDone ends the program once all that was taken is answered and every client has its answer.
 func (g *Gateway) exitIfDone() {
-	if g.closed && len(g.queries) == 0 && len(g.links.ByConn) == 0 && len(g.passing) == 0 {
+	if g.drained && len(g.queries) == 0 && len(g.links.ByConn) == 0 && len(g.passing) == 0 {
 		g.log.Info().Msg("stopped")
 		g.ask(loop.Effect{Op: loop.Exit})
 	}
--- a/internal/lab/virtual/loop.go
+++ b/internal/lab/virtual/loop.go
@@ -389,7 +389,7 @@
 func (l *Loop) doPort(p *port, f loop.Effect) {
 	switch f.Op {
 	case loop.Accept:
-		l.accept(p)
+		l.accept(p, f.Most)
 	case loop.Close:
 		p.Close()
 		delete(l.ports, p.conn)
@@ -401,8 +401,8 @@
 
 func (l *Loop) full() bool { return l.Sockets > 0 && len(l.socks)+ownFiles >= l.Sockets }
 
-func (l *Loop) accept(p *port) {
-	for range mostAccept {
+func (l *Loop) accept(p *port, most int) {
+	for range min(cmp.Or(most, mostAccept), mostAccept) {
 		if len(p.backlog) == 0 {
 			l.tell(loop.Event{Kind: loop.Drained, Conn: p.conn})
 			return
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -248,7 +248,7 @@
 	}
 	switch f.Op {
 	case Accept:
-		l.accept(s)
+		l.accept(s, f.Most)
 	case Read:
 		l.read(s)
 	case Write:
--- a/internal/loop/sockets.go
+++ b/internal/loop/sockets.go
@@ -1,6 +1,7 @@
 package loop
 
 import (
+	"cmp"
 	"errors"
 	"net/netip"
 
@@ -77,8 +78,8 @@
 
 // accept takes what waits at the listener. Out of descriptors, it tells so: the reducer mutes the listener, or
 // epoll would report it without end.
-func (l *Loop) accept(s *socket) {
-	for range mostAccept {
+func (l *Loop) accept(s *socket, most int) {
+	for range min(cmp.Or(most, mostAccept), mostAccept) {
 		fd, _, err := unix.Accept4(s.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		switch {
 		case err == nil && s.unix && !own(fd):
--- a/internal/loop/types.go
+++ b/internal/loop/types.go
@@ -98,6 +98,7 @@
 	Addr   netip.AddrPort
 	Data   []byte
 	Path   string
+	Most   int // with Accept: so many sockets at most, 0 for as many as get a turn
 	Give   []Conn
 	As     Conn
 	Bytes  int64
