--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -209,6 +209,19 @@
 			}
 			return list
 		}}},
+		{"forgets a link that was handed over", "upgrade", ledger.Unanswered, defect{effects: rewrite(func(d *defect, f loop.Effect) []loop.Effect {
+			if f.Op == loop.Unmute && f.Conn >= firstAccepted && d.every(5) {
+				return nil
+			}
+			return []loop.Effect{f}
+		})}},
+		{"takes no new settings", "retune", Wronged, defect{hear: func(_ *defect, e *loop.Event) bool { return e.Kind != loop.File }}},
+		{"skips a piece of a large body", "bulk", ledger.ForeignBody, defect{effects: rewrite(func(d *defect, f loop.Effect) []loop.Effect {
+			if f.Op == loop.Write && f.Conn >= firstAccepted && len(f.Data) > 10_000 && bytes.HasSuffix(f.Data, []byte("ppp")) {
+				f.Data = slices.Concat(f.Data[:len(f.Data)-1], []byte("q"))
+			}
+			return []loop.Effect{f}
+		})}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -28,6 +28,7 @@
 	connecting bool
 	muted      bool
 	urgent     bool
+	shared     bool   // was passed: another process has it, or had it
 	unix       bool   // a Unix socket, by which others are passed
 	armed      uint32 // events that epoll watches for
 	out        []byte // accepted for writing and not yet written
--- a/internal/loop/sockets.go
+++ b/internal/loop/sockets.go
@@ -67,6 +67,11 @@
 func (l *Loop) remove(s *socket) {
 	delete(l.byConn, s.conn)
 	delete(l.byFD, s.fd)
+	if s.shared {
+		// Another process has the socket too: epoll would go on telling of it after this descriptor is closed, and
+		// refuse its number to the next socket.
+		_ = unix.EpollCtl(l.epoll, unix.EPOLL_CTL_DEL, s.fd, nil)
+	}
 	_ = unix.Close(s.fd) // leaves epoll with it; the descriptor is gone whatever close says
 }
 
--- a/internal/loop/unix.go
+++ b/internal/loop/unix.go
@@ -86,8 +86,9 @@
 		return
 	}
 	for _, c := range f.Give {
-		if c != Listener {
-			l.remove(l.byConn[c])
+		given := l.byConn[c]
+		if given.shared = true; c != Listener {
+			l.remove(given)
 		}
 	}
 	l.write(s, f.Data[n:])
@@ -111,7 +112,7 @@
 		}
 		for _, fd := range fds {
 			l.accepted++
-			l.add(&socket{conn: l.accepted, fd: fd, muted: true})
+			l.add(&socket{conn: l.accepted, fd: fd, muted: true, shared: true})
 			passed = append(passed, l.accepted)
 		}
 	}
