Refuse at once where held queries fill every client link

Need: at 2,000 requests a second on 384 descriptors with a fleet for 250, queries held for 0.6 s filled all client links, and whoever came then waited in the kernel's queue beyond his time.

Change: fromclients.go crowded: no room and nobody to give way. TestOverloadedLinksAnswerAll fails without it.

--- a/cmd/thymebend/crowd_test.go
+++ b/cmd/thymebend/crowd_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -124,3 +125,32 @@
 		t.Errorf("the request that went on coming: %d", status)
 	}
 }
+
+// An overload that fills every link with held queries must not keep those that come then waiting unheard: each gets an
+// answer, a refusal at once if need be.
+func TestOverloadedLinksAnswerAll(t *testing.T) {
+	h := newHost(t, "s-1", func(c net.Conn, r *http.Request, body string) { time.Sleep(400 * time.Millisecond); ok(c, r, body) })
+	g := start(t, map[string]any{"limits": map[string]any{"cores": 1, "memory_mb": 32, "sockets": 96}}, h)
+	var all sync.WaitGroup
+	var answered, late atomic.Int64
+	for i := range 300 {
+		all.Go(func() {
+			c, err := net.Dial("tcp", g.addr)
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			began := time.Now()
+			if status, _, _ := ask(t, c, lodge(fmt.Sprint("l", i), "x")); status != 0 {
+				answered.Add(1)
+			}
+			if time.Since(began) > 1500*time.Millisecond {
+				late.Add(1)
+			}
+		})
+	}
+	all.Wait()
+	if answered.Load() < 300 || late.Load() > 10 {
+		t.Errorf("%d of 300 answered, %d of them late", answered.Load(), late.Load())
+	}
+}
--- a/internal/gateway/fromclients.go
+++ b/internal/gateway/fromclients.go
@@ -189,7 +189,7 @@
 		keep := g.keep(l)
 		g.reply(l, clients.Taken(keep))
 		return
-	case len(g.queries) >= g.cfg.Settings.Gateway.MostOpen:
+	case len(g.queries) >= g.cfg.Settings.Gateway.MostOpen || g.crowded():
 		g.settle(asked.Query.Class.Name, throttled)
 		l.Upload = asked.Large
 		keep := g.keep(l)
@@ -211,6 +211,13 @@
 		Repeat: read.Repeat})
 }
 
+// crowded reports whether queries hold so many links that none could give way to those that wait. Guards against an
+// overload that fills every link with held queries: whoever comes then would wait unheard, longer than he has time,
+// where a refusal at once frees a link.
+func (g *Gateway) crowded() bool {
+	return len(g.links.ByConn) > g.links.Most-acceptRoom && g.links.GivesWay(g.now) == nil
+}
+
 // reply writes an answer of the gateway's own, to what is no query.
 func (g *Gateway) reply(l *clients.Link, data []byte) {
 	l.Busy = true
