Close links that brought one query and rest where there are many; spare the young

Cause, by a trace of each connection: from 2.5 s on every query comes on a new link, the old ones stay, and clients have none left long before links run short here (230): queries came exactly as links went. Ruled out: the module, the open cap, descriptors, 503 of the gateways' own. At fault: clients/links.go knew links of one query and of many as one kind, and nothing closed them before Most; links that asked for health alone went last however old.

Change: Links.Spent and a short timer past a quarter of the descriptors; health-only links spared for 2 s; a new link has 50 ms for its first byte; crowded counts queries, and never with an heir: an elder had refused a good request that way (TestLinksGoOverOpen).

--- a/cmd/thymebend/crowd_test.go
+++ b/cmd/thymebend/crowd_test.go
@@ -154,3 +154,38 @@
 		t.Errorf("%d of 300 answered, %d of them late", answered.Load(), late.Load())
 	}
 }
+
+// Clients that open a link for each query and keep all may hold a third of the descriptors and then have none left:
+// where there are many links, one that brought one query and rests is closed. One in use stays, and so do few.
+func TestLinksOfOneQueryAreClosedWhereThereAreMany(t *testing.T) {
+	g := start(t, map[string]any{"limits": map[string]any{"cores": 1, "memory_mb": 32, "sockets": 192}}, newHost(t, "s-1", ok))
+	used := g.dial()
+	for i := range 3 {
+		ask(t, used, view(fmt.Sprint("u", i), 1500))
+	}
+	var links []net.Conn
+	for i := range 90 { // fewer than there is room for
+		c := g.dial()
+		if status, _, _ := ask(t, c, view(fmt.Sprint("o", i), 1500)); status != 200 {
+			t.Errorf("query %d: %d", i, status)
+		}
+		links = append(links, c)
+	}
+	open := func() (n int) {
+		for _, c := range links {
+			_ = c.SetReadDeadline(time.Now().Add(time.Millisecond))
+			if _, err := c.Read(make([]byte, 1)); os.IsTimeout(err) {
+				n++
+			}
+		}
+		return n
+	}
+	until(t, "links of one query to be closed", func() bool { return open() <= 192/4 })
+	time.Sleep(300 * time.Millisecond)
+	if n := open(); n < 30 {
+		t.Errorf("%d of 90 links are open: few are no burden", n)
+	}
+	if status, _, _ := ask(t, used, view("again", 1500)); status != 200 {
+		t.Errorf("the link in use: %d", status)
+	}
+}
--- a/internal/clients/link.go
+++ b/internal/clients/link.go
@@ -28,6 +28,12 @@
 	StandsFor = 5 * time.Second
 	// FirstSoon is how soon a client that connects for a request usually sends it.
 	FirstSoon = 500 * time.Millisecond
+	// SpeaksWithin is the least that a new link has to bring its first byte, however short links run.
+	SpeaksWithin = 50 * time.Millisecond
+	// OnceFor is how soon a client that goes on using a link usually does, where it has many.
+	OnceFor = 100 * time.Millisecond
+	// RestsFor is how long a link that only asked for health may wait for its first query before it is like others.
+	RestsFor = 2 * time.Second
 	// GoesOnWithin is how soon the next piece of a request usually comes, from a client that writes slowly.
 	GoesOnWithin = 700 * time.Millisecond
 	// TakenWithin is how long an answer may take to be written out.
@@ -48,6 +54,7 @@
 	Muted   bool
 	Asked   bool          // a whole request has come on it
 	Served  bool          // one of them was a query
+	Queries int           // how many were
 	Since   time.Duration // of its accept or its last answer
 	Timed   bool          // the rest of a request is awaited for a limited time
 	LastAsk bool          // is looked at once more before it is closed
--- a/internal/clients/links.go
+++ b/internal/clients/links.go
@@ -14,9 +14,11 @@
 type Links struct {
 	ByConn map[loop.Conn]*Link
 	Most   int
-	// Nothing has come yet, by their accept; a first request is half read, by its last byte; at rest after a query; a
-	// later request is half read; at rest after looks at the health alone: the first query is to come.
-	fresh, halfFirst, rested, halfLater, looked queue
+	Many   int // past it links that are not used again are closed, see Spent
+	// Nothing has come yet, by their accept; a first request is half read, by its last byte; at rest after one query,
+	// and after several; a later request is half read; at rest after looks at the health alone: the first query is to
+	// come.
+	fresh, halfFirst, once, rested, halfLater, looked queue
 }
 
 // NewLinks returns room for so many links.
@@ -51,6 +53,8 @@
 		s.halfLater.add(l)
 	case l.Pending():
 		s.halfFirst.add(l)
+	case l.Queries == 1:
+		s.once.add(l)
 	case l.Served:
 		s.rested.add(l)
 	case l.Asked:
@@ -62,7 +66,8 @@
 
 // GivesWay returns the link that gives way first where links run short, or nil if none may. Guards against crowds that
 // connect and ask nothing, ask once and stay, or never end a request. Those that have said nothing for FirstSoon go
-// first, then those at rest, which costs their clients a new connection and no request, then those whose
+// first, then those at rest, which costs their clients a new connection and no request, those
+// that brought one query before those that brought more, then those whose
 // request has stood still for GoesOnWithin. Those that are young or have only asked for health go last, as their first query is
 // to come and would be lost with them. A request that goes on coming is never cut.
 func (s *Links) GivesWay(now time.Duration) *Link {
@@ -70,6 +75,10 @@
 	switch {
 	case quiet(&s.fresh, FirstSoon):
 		return s.fresh.head
+	case quiet(&s.looked, RestsFor):
+		return s.looked.head
+	case s.once.head != nil:
+		return s.once.head
 	case s.rested.head != nil:
 		return s.rested.head
 	case quiet(&s.halfFirst, GoesOnWithin):
@@ -78,10 +87,25 @@
 		return s.halfLater.head
 	case s.looked.head != nil:
 		return s.looked.head
+	case quiet(&s.fresh, SpeaksWithin):
+		return s.fresh.head
+	}
+	return nil
+}
+
+// Spent returns a link that brought one query and has rested since, where there are many links, or nil. Guards against
+// clients that open a link for each query and keep all: where they may hold so many and no more, they have none left
+// for their next query long before links run short here.
+func (s *Links) Spent(now time.Duration) *Link {
+	if l := s.once.head; l != nil && s.TooMany() && now-l.Since >= OnceFor {
+		return l
 	}
-	return s.fresh.head
+	return nil
 }
 
+// TooMany reports whether there are many links.
+func (s *Links) TooMany() bool { return len(s.ByConn) > s.Many }
+
 // queue is a list of links, the one that came first at its head.
 type queue struct{ head, tail *Link }
 
--- a/internal/gateway/fromclients.go
+++ b/internal/gateway/fromclients.go
@@ -11,6 +11,9 @@
 // acceptPause is how long the listener rests when there is no descriptor left, unless a link closes before.
 const acceptPause = 50 * time.Millisecond
 
+// spentAtOnce is how many links that are not used again are closed as one comes: more, so that they grow fewer.
+const spentAtOnce = 2
+
 // acceptRoom is how many links give way at once for those that wait.
 const acceptRoom = 4
 
@@ -87,6 +90,11 @@
 
 func (g *Gateway) clientCame(c loop.Conn) {
 	g.links.Add(c, g.now)
+	for range spentAtOnce {
+		if l := g.links.Spent(g.now); l != nil && g.heir == nil {
+			g.lookAndClose(l)
+		}
+	}
 	patience := clients.RequestWithin
 	if g.closed {
 		patience = clients.LingerFor // its request is on the way, or never comes
@@ -203,6 +211,7 @@
 	g.queries[q.id] = q
 	g.open[read.ID] = true
 	l.Busy, l.Served, l.Query = true, true, q.id
+	l.Queries++
 	if asked.Large {
 		g.beginUpload(q, l)
 	}
@@ -211,11 +220,12 @@
 		Repeat: read.Repeat})
 }
 
-// crowded reports whether queries hold so many links that none could give way to those that wait. Guards against an
+// crowded reports whether queries hold nearly all links, so that hardly any could give way to those that wait. Guards against an
 // overload that fills every link with held queries: whoever comes then would wait unheard, longer than he has time,
 // where a refusal at once frees a link.
 func (g *Gateway) crowded() bool {
-	return len(g.links.ByConn) > g.links.Most-acceptRoom && g.links.GivesWay(g.now) == nil
+	// With an heir nobody waits here: see resize.
+	return g.heir == nil && len(g.queries) > g.links.Most*7/8
 }
 
 // reply writes an answer of the gateway's own, to what is no query.
@@ -258,7 +268,11 @@
 		return
 	}
 	g.unmute(l)
-	g.setTimer(timerClient, uint64(l.Conn), g.now+clients.IdleAfter)
+	rest := clients.IdleAfter
+	if l.Queries == 1 && g.links.TooMany() && g.heir == nil {
+		rest = clients.OnceFor // no newcomer may be left to close it, see Spent
+	}
+	g.setTimer(timerClient, uint64(l.Conn), g.now+rest)
 	g.restless = true
 	g.links.Place(l)
 	if g.closed && !g.heirTakes {
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -12,6 +12,9 @@
 // heapShare of the memory limit is the collector's; the rest is for stacks, sockets and the program itself.
 const heapShare = 0.6
 
+// manyShare of the descriptors in client links are many: clients may hold a third for their queries.
+const manyShare = 4
+
 // spareLinks to hosts are left to an elder beyond those that it has, for what it still holds.
 const spareLinks = 4
 
@@ -105,7 +108,7 @@
 			note := m.Links[i]
 			idle := time.Duration(note.IdleMS) * time.Millisecond
 			l := g.links.Add(c, g.now-idle)
-			l.Asked, l.Served = note.Asked, note.Served
+			l.Asked, l.Served, l.Queries = note.Asked, note.Served, 2 // how many is not told: none gives way for that
 			g.links.Place(l)
 			left := clients.IdleAfter - idle
 			if !l.Asked {
@@ -307,7 +310,7 @@
 	}
 	sockets = max(sockets-ownSockets, 2*spareLinks)
 	inbound := int(float64(sockets) * clientShare)
-	g.links.Most = inbound
+	g.links.Most, g.links.Many = inbound, g.cfg.Limits.Sockets/manyShare
 	g.pool.Resize(sockets - inbound)
 	if g.heirTakes {
 		g.links.Most = len(g.links.ByConn)
