--- a/balancer.go
+++ b/balancer.go
@@ -439,8 +439,8 @@
 	s.kinds[r.Class].out--
 }
 
-// Writing tells that an attempt's request is still being written, which is no work for its server, and later that
-// its last byte is: only then do its work, its aim and its client's patience begin.
+// Writing tells that an attempt's request is still being written, which is no work for its server, and later
+// that its last byte is: only then do its work, its aim and its client's patience begin.
 func (b *Balancer) Writing(now time.Duration, id RequestID, n int, done bool) {
 	b.now = now
 	r := b.requests[id]
