Rest a listening socket of operators or the next process that cannot accept

And 64 calls could be accepted before the oldest of ten gave way.

Change: such a socket is muted for 50 ms; two calls, or one process, are accepted at a time. Measured: TestCallsWaitWithoutSpinning fails on the tree before, under 0.3 s of processor time in 1 s now.

--- a/cmd/thymebend/operate_test.go
+++ b/cmd/thymebend/operate_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // freePort is an address on which nobody listens.
@@ -211,3 +213,35 @@
 		}
 	}
 }
+
+// Out of descriptors altogether, a call that waits costs no processor time, and is answered once there are some.
+func TestCallsWaitWithoutSpinning(t *testing.T) {
+	control := freePort(t)
+	g := start(t, map[string]any{"control": control}, newHost(t, "s-1", ok))
+	pid := g.cmd.Process.Pid
+	var was unix.Rlimit
+	fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	if err == nil {
+		err = unix.Prlimit(pid, unix.RLIMIT_NOFILE, nil, &was)
+	}
+	if err == nil {
+		err = unix.Prlimit(pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: uint64(len(fds)) - 1, Max: was.Max}, nil)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	answers := make(chan int)
+	go func() { status, _ := operator(t, control, readiness); answers <- status }()
+	until(t, "the accept to fail", func() bool { return g.logs("accept of an operator") })
+	before := processorTime(t, pid)
+	time.Sleep(time.Second)
+	if spent := processorTime(t, pid) - before; spent > 300*time.Millisecond {
+		t.Errorf("%v of processor time in a second of waiting", spent)
+	}
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &was, nil); err != nil {
+		t.Fatal(err)
+	}
+	if status := <-answers; status != 200 {
+		t.Errorf("the call that waited: %d", status)
+	}
+}
--- a/internal/gateway/fromoperators.go
+++ b/internal/gateway/fromoperators.go
@@ -11,6 +11,9 @@
 // tally is what the operators are told of one class.
 type tally struct{ fulfilled, throttled, faulted int64 }
 
+// acceptCalls is how many operators' calls are accepted at once.
+const acceptCalls = 2
+
 // mostTallies bounds the classes counted, with those that have left the settings.
 const mostTallies = 256
 
@@ -76,12 +79,21 @@
 func (g *Gateway) controlListener(e loop.Event) {
 	switch e.Kind {
 	case loop.Readable:
-		g.ask(loop.Effect{Op: loop.Accept, Conn: loop.Control})
+		// Few at once: what is accepted holds descriptors before the oldest caller has given way.
+		g.ask(loop.Effect{Op: loop.Accept, Conn: loop.Control, Most: acceptCalls})
 	case loop.AcceptFailed:
 		g.log.Warn().Err(e.Err).Msg("accept of an operator")
+		g.restListener(e.Conn)
 	}
 }
 
+// restListener stops looking at a listening socket of few callers for a moment. Guards against spinning while a
+// connection waits for which there is no descriptor.
+func (g *Gateway) restListener(c loop.Conn) {
+	g.ask(loop.Effect{Op: loop.Mute, Conn: c})
+	g.setTimer(timerListener, uint64(c), g.now+acceptPause)
+}
+
 func (g *Gateway) operatorCame(c loop.Conn) {
 	if out := g.ops.Add(c); out != nil {
 		g.dropOperator(out)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,7 @@
 	timerOperator
 	timerElder
 	timerHeir
+	timerListener
 )
 
 // The budget of descriptors: a few are the program's own, the rest is shared out, so that neither a crowd of
@@ -318,6 +319,8 @@
 		if l := g.ops.Find(loop.Conn(t.ID)); l != nil {
 			g.dropOperator(l)
 		}
+	case timerListener:
+		g.ask(loop.Effect{Op: loop.Unmute, Conn: loop.Conn(t.ID)})
 	case timerAccept:
 		g.resume()
 	case timerStop:
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -164,7 +164,10 @@
 func (g *Gateway) handoverListener(e loop.Event) {
 	switch e.Kind {
 	case loop.Readable:
-		g.ask(loop.Effect{Op: loop.Accept, Conn: loop.Handover})
+		g.ask(loop.Effect{Op: loop.Accept, Conn: loop.Handover, Most: 1})
+	case loop.AcceptFailed:
+		g.log.Warn().Err(e.Err).Msg("accept of the next process")
+		g.restListener(e.Conn)
 	case loop.Broken:
 		g.log.Warn().Err(e.Err).Msg("the next process cannot be handed anything")
 	}
