Word heads once, hear the other process once, and count a link's queries once

Need: read again as its next maintainer: request and response heads were worded in two places each, the elder's and the heir's link were heard by two copies of one loop, and Served said what Queries says.

Change: AppendRequest and AppendResponse are the streamed heads with a body; hear serves both sides of the hand-over; Served is gone, and the hand-over tells how many queries a link brought instead of taking two.

--- a/internal/clients/link.go
+++ b/internal/clients/link.go
@@ -53,8 +53,7 @@
 	Ended   bool                // our sending has ended; what still comes is dropped
 	Muted   bool
 	Asked   bool          // a whole request has come on it
-	Served  bool          // one of them was a query
-	Queries int           // how many were
+	Queries int           // how many queries came on it
 	Since   time.Duration // of its accept or its last answer
 	Timed   bool          // the rest of a request is awaited for a limited time
 	LastAsk bool          // is looked at once more before it is closed
--- a/internal/clients/links.go
+++ b/internal/clients/links.go
@@ -55,7 +55,7 @@
 		s.halfFirst.add(l)
 	case l.Queries == 1:
 		s.once.add(l)
-	case l.Served:
+	case l.Queries > 1:
 		s.rested.add(l)
 	case l.Asked:
 		s.looked.add(l)
--- a/internal/gateway/fromclients.go
+++ b/internal/gateway/fromclients.go
@@ -210,7 +210,7 @@
 	q := &query{Query: read, id: g.nextID, client: l.Conn, deadline: g.now + read.Patience}
 	g.queries[q.id] = q
 	g.open[read.ID] = true
-	l.Busy, l.Served, l.Query = true, true, q.id
+	l.Busy, l.Query = true, q.id
 	l.Queries++
 	if asked.Large {
 		g.beginUpload(q, l)
@@ -220,11 +220,10 @@
 		Repeat: read.Repeat})
 }
 
-// crowded reports whether queries hold nearly all links, so that hardly any could give way to those that wait. Guards against an
-// overload that fills every link with held queries: whoever comes then would wait unheard, longer than he has time,
-// where a refusal at once frees a link.
+// crowded reports whether queries hold nearly all links, so that hardly any could give way to those that wait. Guards
+// against an overload that fills every link with held queries: whoever comes then would wait unheard, longer than he
+// has time, where a refusal at once frees a link. With an heir nobody waits here: see resize.
 func (g *Gateway) crowded() bool {
-	// With an heir nobody waits here: see resize.
 	return g.heir == nil && len(g.queries) > g.links.Most*7/8
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -258,7 +258,7 @@
 		g.elderEvent(e)
 		return
 	case g.heir != nil && e.Conn == g.heir.Conn:
-		g.heirEvent(e)
+		g.hear(&g.heir, e, g.heirSays, g.loseHeir)
 		return
 	}
 	if l := g.ops.Find(e.Conn); l != nil {
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -72,28 +72,35 @@
 // ---- the newcomer's side --------------------------------------------------------------------------------
 
 func (g *Gateway) elderEvent(e loop.Event) {
-	switch e.Kind {
-	case loop.Connected:
+	if e.Kind == loop.Connected {
 		g.say(g.elder, handover.Message{Kind: handover.Hello, Listen: g.cfg.Listen.String()}, nil)
+		return
+	}
+	g.hear(&g.elder, e, g.elderSays, g.loseElder)
+}
+
+// hear takes the news of the link to the other process, until it is lost.
+func (g *Gateway) hear(link **handover.Link, e loop.Event, says func(handover.Message), lose func(why string)) {
+	switch e.Kind {
 	case loop.Readable:
 		g.ask(loop.Effect{Op: loop.Read, Conn: e.Conn})
 	case loop.Data:
-		g.elder.Feed(e.Data, e.Passed)
-		for g.elder != nil {
-			m, whole, err := g.elder.Next()
+		(*link).Feed(e.Data, e.Passed)
+		for *link != nil {
+			m, whole, err := (*link).Next()
 			if err != nil {
-				g.loseElder(err.Error())
+				lose(err.Error())
 				return
 			}
 			if !whole {
 				return
 			}
-			g.elderSays(m)
+			says(m)
 		}
 	case loop.EOF:
-		g.loseElder("it has ended")
+		lose("it has ended")
 	case loop.Broken:
-		g.loseElder(e.Err.Error())
+		lose(e.Err.Error())
 	}
 }
 
@@ -108,7 +115,7 @@
 			note := m.Links[i]
 			idle := time.Duration(note.IdleMS) * time.Millisecond
 			l := g.links.Add(c, g.now-idle)
-			l.Asked, l.Served, l.Queries = note.Asked, note.Served, 2 // how many is not told: none gives way for that
+			l.Asked, l.Queries = note.Asked, note.Queries
 			g.links.Place(l)
 			left := clients.IdleAfter - idle
 			if !l.Asked {
@@ -183,30 +190,6 @@
 	g.setTimer(timerHeir, 0, g.now+handover.TakeWithin)
 }
 
-func (g *Gateway) heirEvent(e loop.Event) {
-	switch e.Kind {
-	case loop.Readable:
-		g.ask(loop.Effect{Op: loop.Read, Conn: e.Conn})
-	case loop.Data:
-		g.heir.Feed(e.Data, e.Passed)
-		for g.heir != nil {
-			m, whole, err := g.heir.Next()
-			if err != nil {
-				g.loseHeir(err.Error())
-				return
-			}
-			if !whole {
-				return
-			}
-			g.heirSays(m)
-		}
-	case loop.EOF:
-		g.loseHeir("it has ended")
-	case loop.Broken:
-		g.loseHeir(e.Err.Error())
-	}
-}
-
 func (g *Gateway) heirSays(m handover.Message) {
 	switch m.Kind {
 	case handover.Hello:
@@ -258,7 +241,7 @@
 			g.restless = true
 			break
 		}
-		notes = append(notes, handover.Idle{Asked: l.Asked, Served: l.Served, IdleMS: (g.now - l.Since).Milliseconds()})
+		notes = append(notes, handover.Idle{Asked: l.Asked, Queries: l.Queries, IdleMS: (g.now - l.Since).Milliseconds()})
 		g.passing = append(g.passing, l.Conn)
 		g.stopTimer(timerClient, uint64(l.Conn))
 		g.links.Remove(l)
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -59,9 +59,9 @@
 
 // Idle is what is told of a client link.
 type Idle struct {
-	Asked  bool  `json:"asked"`
-	Served bool  `json:"served"`
-	IdleMS int64 `json:"idle_ms"`
+	Asked   bool  `json:"asked"`
+	Queries int   `json:"queries"`
+	IdleMS  int64 `json:"idle_ms"`
 }
 
 // Path is where an elder that serves clients at an address listens.
--- a/internal/http1/write.go
+++ b/internal/http1/write.go
@@ -4,26 +4,24 @@
 
 // AppendRequest writes a request. body may be nil; a length is stated for every method that may have one.
 func AppendRequest(dst []byte, method, target string, fields []Field, body []byte) []byte {
-	dst = append(dst, method...)
-	dst = append(dst, ' ')
-	dst = append(dst, target...)
-	dst = append(dst, " HTTP/1.1\r\n"...)
-	dst = appendFields(dst, fields)
+	dst = appendRequestStart(dst, method, target, fields)
 	if len(body) > 0 || method != "GET" && method != "HEAD" {
-		dst = appendLength(dst, int64(len(body)))
+		dst = appendFraming(dst, int64(len(body)))
 	}
-	dst = append(dst, "\r\n"...)
-	return append(dst, body...)
+	return append(append(dst, "\r\n"...), body...)
 }
 
 // AppendRequestHead writes the head of a request whose body follows in pieces: of a length, or in chunks if that
 // is -1.
 func AppendRequestHead(dst []byte, method, target string, fields []Field, length int64) []byte {
+	return append(appendFraming(appendRequestStart(dst, method, target, fields), length), "\r\n"...)
+}
+
+func appendRequestStart(dst []byte, method, target string, fields []Field) []byte {
 	dst = append(dst, method...)
 	dst = append(dst, ' ')
 	dst = append(dst, target...)
-	dst = append(dst, " HTTP/1.1\r\n"...)
-	return append(appendFraming(appendFields(dst, fields), length), "\r\n"...)
+	return appendFields(append(dst, " HTTP/1.1\r\n"...), fields)
 }
 
 // AppendResponseHead writes the head of a response whose body follows in pieces: of a length, or in chunks if that
@@ -48,7 +46,9 @@
 	if length < 0 {
 		return append(dst, "Transfer-Encoding: chunked\r\n"...)
 	}
-	return appendLength(dst, length)
+	dst = append(dst, "Content-Length: "...)
+	dst = strconv.AppendInt(dst, length, 10)
+	return append(dst, "\r\n"...)
 }
 
 // AppendChunk writes a piece of a body in chunks, and the end of the body with the last one.
@@ -67,18 +67,7 @@
 
 // AppendResponse writes a response.
 func AppendResponse(dst []byte, status int, fields []Field, body []byte, keepAlive bool) []byte {
-	dst = append(dst, "HTTP/1.1 "...)
-	dst = strconv.AppendInt(dst, int64(status), 10)
-	dst = append(dst, ' ')
-	dst = append(dst, reason(status)...)
-	dst = append(dst, "\r\n"...)
-	dst = appendFields(dst, fields)
-	dst = appendLength(dst, int64(len(body)))
-	if !keepAlive {
-		dst = append(dst, "Connection: close\r\n"...)
-	}
-	dst = append(dst, "\r\n"...)
-	return append(dst, body...)
+	return append(AppendResponseHead(dst, status, fields, int64(len(body)), 1, keepAlive), body...)
 }
 
 func appendFields(dst []byte, fields []Field) []byte {
@@ -91,12 +80,6 @@
 	return dst
 }
 
-func appendLength(dst []byte, n int64) []byte {
-	dst = append(dst, "Content-Length: "...)
-	dst = strconv.AppendInt(dst, n, 10)
-	return append(dst, "\r\n"...)
-}
-
 func reason(status int) string {
 	switch status {
 	case 200:
