--- a/internal/gateway/fromclients.go
+++ b/internal/gateway/fromclients.go
@@ -91,7 +91,7 @@
 func (g *Gateway) clientCame(c loop.Conn) {
 	g.links.Add(c, g.now)
 	for range spentAtOnce {
-		if l := g.links.Spent(g.now); l != nil && g.heir == nil {
+		if l := g.links.Spent(g.now); l != nil && g.alone() {
 			g.lookAndClose(l)
 		}
 	}
@@ -268,7 +268,7 @@
 	}
 	g.unmute(l)
 	rest := clients.IdleAfter
-	if l.Queries == 1 && g.links.TooMany() && g.heir == nil {
+	if l.Queries == 1 && g.links.TooMany() && g.alone() {
 		rest = clients.OnceFor // no newcomer may be left to close it, see Spent
 	}
 	g.setTimer(timerClient, uint64(l.Conn), g.now+rest)
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -282,6 +282,10 @@
 
 // ---- what both share ------------------------------------------------------------------------------------
 
+// alone reports whether this is the only process of its gateway. While there are two, no link at rest is closed that
+// could stay: what is gained would be lost to clients who come back in the middle of the upgrade.
+func (g *Gateway) alone() bool { return g.heir == nil && g.elder == nil }
+
 // holds is how many descriptors of the limit this process and its elder need.
 func (g *Gateway) holds() int {
 	return ownSockets + len(g.links.ByConn) + g.pool.Most() + g.elderHolds
@@ -303,7 +307,7 @@
 		g.pool.Resize(min(sockets-inbound, g.pool.Len()+spareLinks))
 	}
 	heap := g.cfg.Limits.MemoryMB * heapShare * (1 << 20)
-	if g.heir != nil || g.elder != nil {
+	if !g.alone() {
 		heap /= 2
 	}
 	if int64(heap) != g.heap {
