--- a/cmd/thymebend/operate_test.go
+++ b/cmd/thymebend/operate_test.go
@@ -245,3 +245,36 @@
 		t.Errorf("the call that waited: %d", status)
 	}
 }
+
+// A host that drains is listed and out of rotation; one that is gone is neither.
+func TestOutOfRotationFollowsTheList(t *testing.T) {
+	control := freePort(t)
+	a, b := newHost(t, "s-1", ok), newHost(t, "s-2", ok)
+	g := start(t, map[string]any{"control": control}, a, b)
+	for i, want := range [][2]int{{2, 1}, {1, 0}} {
+		g.disc.tell <- list(2+i, false, entry(a, []string{"draining", "removed"}[i]))
+		until(t, fmt.Sprint("listed and avoided to be ", want), func() bool {
+			f := stats(t, control)
+			return *f.Registry_entries == want[0] && *f.Out_of_rotation == want[1]
+		})
+	}
+}
+
+// A client may take 2 s for a head and send its body at 64 kB a second: only what stands still is given up.
+func TestSlowClientsHaveTheirTime(t *testing.T) {
+	g := start(t, nil, newHost(t, "s-1", ok))
+	c := g.dial()
+	raw := lodge("slow", strings.Repeat("x", 60<<10))
+	head := strings.Index(raw, "\r\n\r\n") + 4
+	fmt.Fprint(c, raw[:20])
+	time.Sleep(2 * time.Second)
+	fmt.Fprint(c, raw[20:head])
+	for rest := raw[head:]; len(rest) > 0; time.Sleep(50 * time.Millisecond) {
+		n := min(len(rest), 3200)
+		fmt.Fprint(c, rest[:n])
+		rest = rest[n:]
+	}
+	if status, _, _ := answer(c); status != 200 {
+		t.Errorf("a slow client's bid: %d", status)
+	}
+}
