Link the gateway dynamically against the C library

Change: the deploy file's build alone names cgo and the external link mode; the Makefile reads it there. A test builds by that line and looks for the loader; with the old line and cgo off it fails. With cgo on the old line was dynamic as well, since a dependency brings in the standard library's network package; that is not to be relied on. The program is as it was.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
 .PHONY: build lab test lint run demo experiments mutants
 
+# As the deploy file says, which alone names the flags.
 build:
-	mkdir -p bin && go build -o bin/ ./cmd/thymebend ./cmd/adapter
+	$(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)
 
 # The laboratory's program.
 lab:
--- /dev/null
+++ b/cmd/thymebend/deploy_test.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"debug/elf"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// The platform loads a library into the gateway, which a program without a dynamic loader would not see: it would
+// run on unheard. Built as the deploy file says, but into a folder of the test's own.
+func TestDeployedProgramIsLinkedDynamically(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	line := regexp.MustCompile(`(?m)^build = "(.*)"$`).FindSubmatch(text)
+	if line == nil {
+		t.Fatal("deploy/balancer.toml: no build")
+	}
+	dir := t.TempDir()
+	build := exec.Command("sh", "-c", strings.NewReplacer(" bin ", " "+dir+" ", " bin/ ", " "+dir+"/ ").Replace(string(line[1])))
+	build.Dir = "../.."
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	file, err := elf.Open(filepath.Join(dir, "thymebend"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	if libs, err := file.ImportedLibraries(); err != nil || file.Section(".interp") == nil || len(libs) == 0 {
+		t.Errorf("loader %v, libraries %v, %v", file.Section(".interp"), libs, err)
+	}
+}
