Leave servers of other zones that cannot be reached, and keep repeats with the members

Of the 13 requests that server s- lost when it fell (12.55 s) one was a trial, seven came from gateways that had reached for it and five were repeats at gateways that do not use it: 12.110 n51 SND ej=false reached=true n=1 12.549 n51 END out=5 lat=440 12.136 n15 SND ej=false mem=false n=2 12.550 n15 END out=5 lat=414 n51 had tried it every 0.4 s since 9.29 s, each time for 250 ms (END out=4), and never ejected it. Lines at fault, all in balancer.go: eject() suspects the load once half of the members look bad, which counted servers that were reached; pick() let every repeat go to any listed server, which only keyed ones need; place() sorted by zone, so all that a gateway reached was in the zone that was lost. Ruled out: gateways that take servers back too fast.

Change: the guard counts the even part alone; a connect that fails there halves the reach; repeats of safe and unsafe work stay with the members; places are sorted by id. The reach is subset.Reach now, pure.

--- a/balancer.go
+++ b/balancer.go
@@ -79,21 +79,18 @@
 	rng *rand.Rand
 	now time.Duration
 
-	requests   map[RequestID]*request
-	queue      []*request // held requests, oldest first
-	free       []*request // for reuse
-	byID       map[ServerID]*server
-	servers    []*server // in the order in which the list named them
-	members    []*server // those that this gateway uses, see choose
-	own, far   []*server // places of the servers of its own zone and of the others
-	stale      bool      // members have to be chosen anew
-	yielded    bool      // another process of this gateway has the cold servers' budgets
-	parts      subset.Rule
-	reach      float64       // servers of other zones that this gateway uses beyond its even part
-	reachAt    time.Duration // not before then does it grow
-	reachFails int
-	crossFull  bool // one of these turned work away in this sample
-	short      bool // a request was held for half of its time in this sample
+	requests map[RequestID]*request
+	queue    []*request // held requests, oldest first
+	free     []*request // for reuse
+	byID     map[ServerID]*server
+	servers  []*server // in the order in which the list named them
+	members  []*server // those that this gateway uses, see choose
+	own, far []*server // places of the servers of its own zone and of the others
+	stale    bool      // members have to be chosen anew
+	yielded  bool      // another process of this gateway has the cold servers' budgets
+	parts    subset.Rule
+	reach    subset.Reach // beyond its even part, among the servers of other zones
+	signs    subset.Signs // for it, in this sample
 
 	classes []classState
 	tenants []tenantState
@@ -314,7 +311,7 @@
 			b.finish(r)
 			continue
 		}
-		b.short = b.short || b.now-r.begun > b.classes[r.Class].hold[index(r.over)]/2
+		b.signs.Short = b.signs.Short || b.now-r.begun > b.classes[r.Class].hold[index(r.over)]/2
 		kept = append(kept, r)
 	}
 	clear(b.queue[len(kept):])
@@ -358,8 +355,8 @@
 // take more than a gateway's CPU.
 func (b *Balancer) pick(r *request) *server {
 	fresh, from := len(r.attempts) == 0, b.members
-	if !fresh {
-		from = b.servers // a keyed repeat may have to go where no member is
+	if !fresh && b.classes[r.Class].Effect == Keyed {
+		from = b.servers // its repeat may have to go where no member is
 	}
 	n, c := len(from), &b.classes[r.Class]
 	wait := scale(c.Aim, min(b.cfg.CrossZonePrice, 1-gamma))
@@ -494,7 +491,11 @@
 		b.warmRate += (work.mean/period.Seconds() - b.warmRate) * failWeight
 	}
 	b.mean = b.averageClass()
-	b.sampleReach()
+	warming := func(s *server) bool { return !s.reached && b.coldness(s) < 1 }
+	b.signs.Warming = slices.ContainsFunc(b.members, warming)
+	rest := scale(b.meanAim(), 0.5+b.rng.Float64())
+	b.stale = b.reach.Sample(b.now, b.signs, float64(len(b.servers)), rest) || b.stale
+	b.signs = subset.Signs{}
 	b.sampleWait()
 	b.sampleResponse()
 	b.setHolds()
@@ -523,28 +524,6 @@
 	}
 }
 
-// sampleReach adds a server of another zone to those that this gateway uses while it is short of room, and leaves
-// them slowly: traffic and servers are not spread alike over zones and gateways, which no list tells. Where such a
-// server has no room, others need it: half of them are left at once, as many gateways are short together. While
-// a server of the even part is cold, room comes by itself, and the whole fleet is likely short: none is added.
-func (b *Balancer) sampleReach() {
-	had := b.reach
-	cold := func(s *server) bool { return !s.reached && b.coldness(s) < 1 }
-	switch {
-	case b.crossFull:
-		b.reach /= 2
-		b.reachAt = b.now + scale(b.meanAim(), float64(int(1)<<min(b.reachFails, maxBackoff))*(0.5+b.rng.Float64()))
-		b.reachFails++
-	case b.now < b.reachAt: // as it is
-	case b.short && !slices.ContainsFunc(b.members, cold):
-		b.reach = min(had+1, float64(len(b.servers)))
-	default:
-		b.reachFails = 0
-		b.reach *= 1 - arrivalDecay
-	}
-	b.short, b.crossFull, b.stale = false, false, b.stale || int(b.reach) != int(had)
-}
-
 // learnService updates K and the averages of the service time.
 func (s *server) learnService(mean float64, answers int) {
 	ratio := mean / math.Ceil(s.u)
@@ -711,12 +690,12 @@
 }
 
 // eject keeps ordinary work from s until a trial. If too many look bad the load is suspected instead and
-// all stay in use.
+// all stay in use. Servers beyond the even part tell nothing of that: they are picked where others left off.
 func (b *Balancer) eject(s *server, why string) {
-	if !s.ejected {
+	if !s.ejected && !s.reached {
 		bad, all := 1, 0
 		for _, t := range b.members {
-			if t.State == Ready {
+			if t.State == Ready && !t.reached {
 				all++
 				if t.ejected {
 					bad++
@@ -757,7 +736,7 @@
 // only one that can be repeated if it fails.
 func (b *Balancer) mayTry(s *server, r *request) bool {
 	repeatable := b.classes[r.Class].Effect != Unsafe && len(r.attempts) == 0
-	return repeatable && s.inflight == 0 && b.now >= s.trialAt
+	return repeatable && s.inflight == 0 && !s.reached && b.now >= s.trialAt
 }
 
 func (b *Balancer) meanAim() time.Duration {
@@ -843,11 +822,12 @@
 		b.pace(s, min(ms(e.Latency), 2*max(b.mean, s.smooth.mean))) // single heavy requests tell little
 	case Error, Reset, ConnectFailed:
 		b.failed(s, true)
+		b.signs.Full = b.signs.Full || s.reached && e.Outcome == ConnectFailed
 	case Full:
 		// The server is there and says so: it has enough, which is for the limit to learn, not health. One
 		// that goes on refusing rests longer each time, or it would draw most attempts of many gateways.
 		s.failures++
-		s.heard, b.crossFull = b.now, b.crossFull || s.reached
+		s.heard, b.signs.Full = b.now, b.signs.Full || s.reached
 		rest := max(b.mean, ms(b.meanAim())*restShare) // nothing is learnt before the first answer
 		s.restUntil = b.now + scale(time.Millisecond, rest*float64(int(1)<<min(s.fulls, maxBackoff)))
 		s.fulls++
@@ -1177,7 +1157,7 @@
 // so that the members of every gateway are replaced one for one.
 func (b *Balancer) place(fresh []*server) {
 	slices.SortFunc(fresh, func(x, y *server) int {
-		return cmp.Or(cmp.Compare(x.Zone, y.Zone), cmp.Compare(x.Cell, y.Cell), cmp.Compare(x.ID, y.ID))
+		return cmp.Compare(x.ID, y.ID) // zones and cells mixed, so that one lost is no gateway's whole part
 	})
 	for _, s := range fresh {
 		places := &b.far
@@ -1207,7 +1187,7 @@
 	far := max(zones[0].Far, leastMembers-b.join(b.own, zones[0].Own))
 	b.join(b.far, far)
 	even := len(b.members)
-	b.join(b.far, far+b.reach)
+	b.join(b.far, far+b.reach.Size)
 	for _, s := range b.members[even:] {
 		s.reached = true
 	}
@@ -1238,8 +1218,8 @@
 	return zones
 }
 
-// join adds servers to the members, beginning at a place that follows from this gateway's number. It returns how
-// many of them are not ejected.
+// join adds servers to the members, beginning at a place that follows from this gateway's number. It returns
+// how many of them are not ejected.
 func (b *Balancer) join(places []*server, want float64) (usable float64) {
 	start, want := subset.Start(b.cfg.Rank, len(places)), subset.Whole(b.cfg.Rank, want)
 	for i := range places {
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1273,15 +1273,15 @@
 		s.Born = 0
 	}
 	// A full one tells that the fleet is short too: hundreds of gateways would take each other's connections.
-	reach := r.b.reach
+	reach := r.b.reach.Size
 	at := slices.IndexFunc(out, func(a act) bool { return r.b.byID[a.server].reached })
 	r.end(out[at].id, 0, out[at].server, Full, 5*millisecond)
 	out = slices.Delete(out, at, at+1)
 	r.wait(period)
-	r.b.short = true
+	r.b.signs.Short = true
 	r.wait(period)
-	if r.b.reach > reach/2 {
-		t.Errorf("reach is %.1f half a second after a full server, %.1f before", r.b.reach, reach)
+	if r.b.reach.Size > reach/2 {
+		t.Errorf("reach is %.1f half a second after a full server, %.1f before", r.b.reach.Size, reach)
 	}
 	for _, a := range append(out, r.take("send")...) {
 		r.end(a.id, 0, a.server, OK, 100*millisecond)
@@ -1292,3 +1292,79 @@
 		t.Errorf("%d members two minutes later, %d closed; want %d and at least 4", len(r.b.members), n, len(before))
 	}
 }
+
+// A lost zone: repeats of what could not be sent went to any server of the list, dead ones among them, and all were
+// there when it returned cold.
+func TestRepeatsStayWithMembers(t *testing.T) {
+	r := fleet(t, 300, twoZones(40))[0]
+	warmUp(r)
+	for class, wide := range []bool{false, true, false} { // a keyed repeat may have to go where no member is
+		r.take("send")
+		id := RequestID(900 + class)
+		r.request(id, class)
+		sends := r.take("send")
+		if len(sends) != 1 {
+			t.Fatalf("class %d: %d sends", class, len(sends))
+		}
+		for _, s := range r.b.members {
+			s.restUntil = r.now + 300*millisecond
+		}
+		r.end(id, 0, sends[0].server, ConnectFailed, 250*millisecond)
+		if sends := r.take("send"); (len(sends) > 0) != wide {
+			t.Errorf("class %d: sent %+v while all members rest", class, sends)
+		}
+		r.now += time.Second
+	}
+}
+
+// The same day: a gateway with half of its part lost ejected none of the dead servers that it reached, and tried each
+// over and over, 250 ms of its requests' time a try.
+func TestAnUnreachableServerBeyondTheEvenPartIsLeft(t *testing.T) {
+	r := fleet(t, 300, twoZones(40))[0]
+	warmUp(r)
+	for _, s := range r.b.members {
+		s.ejected, s.trialAt = true, r.now+time.Hour
+	}
+	r.b.reach.Size, r.b.stale = 4, true
+	r.b.Dispatch(r.now)
+	var reached *server
+	for _, s := range r.b.members {
+		if s.reached {
+			reached = s
+		}
+	}
+	a := &attempt{server: reached}
+	for range 2 {
+		r.b.judge(&request{}, a, AttemptEnd{Outcome: ConnectFailed, Latency: 250 * millisecond})
+	}
+	if !reached.ejected {
+		t.Error("not ejected after two connects that failed")
+	}
+	r.wait(period)
+	if r.b.reach.Size > 2 {
+		t.Errorf("reach is %v, want half of 4", r.b.reach.Size)
+	}
+}
+
+// Servers that a gateway uses beside its own zone's are of several zones, or one lost zone takes them all.
+func TestServersOfOtherZonesAreMixed(t *testing.T) {
+	var list []Server
+	for i := range 200 {
+		list = append(list, ready(ServerID(1+i*7919%100003), i/50, i/10)) // ids tell nothing of zones
+	}
+	alone := 0
+	for _, r := range fleet(t, 300, list) {
+		r.b.reach.Size, r.b.stale = 6, true
+		r.b.Dispatch(r.now)
+		zones := make(map[int]bool)
+		for _, s := range r.b.members {
+			if s.Zone != r.b.cfg.Zone {
+				zones[s.Zone] = true
+			}
+		}
+		alone += index(len(zones) < 2)
+	}
+	if alone > 0 {
+		t.Errorf("%d of 300 gateways use servers of one other zone only", alone)
+	}
+}
--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -3,7 +3,10 @@
 // gateways, and stable. It knows numbers only, does no I/O and has no clock.
 package subset
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // Zone holds the ready servers of one zone and of all others, and how many of each a gateway of the zone uses. Far
 // may have a fraction: the share of the gateways that use one more.
@@ -67,3 +70,42 @@
 	_, chance := math.Modf(float64(rank) * math.Sqrt2)
 	return math.Floor(want + chance)
 }
+
+// Reach is what a gateway that is short of room uses beyond its even part, and how it gives that up: traffic and
+// servers are not spread alike over zones and gateways, which no list tells. It grows by one a sample and shrinks by
+// half where a server beyond the even part is full, for then others need it: hundreds of gateways that are short
+// together would take each other's connections. Growth then rests, longer each time.
+type Reach struct {
+	Size     float64
+	fails    int
+	resumeAt time.Duration
+}
+
+// Signs are what a gateway saw in one sample. Short says that requests waited, Full that a server beyond the even
+// part had no room, Warming that one of the even part is cold: room then comes by itself, and the whole fleet is
+// likely short.
+type Signs struct{ Short, Full, Warming bool }
+
+const (
+	reachDecay  = 1.0 / 64 // of the reach, a sample without need: a quarter minute
+	maxDoubling = 3        // doublings of the rest
+)
+
+// Sample takes the signs of a sample and reports whether the whole number of servers changed. rest is how long growth
+// rests at first; the caller varies it, or gateways would stay in step.
+func (r *Reach) Sample(now time.Duration, seen Signs, most float64, rest time.Duration) bool {
+	had := r.Size
+	switch {
+	case seen.Full:
+		r.Size /= 2
+		r.resumeAt = now + rest*time.Duration(1<<min(r.fails, maxDoubling))
+		r.fails++
+	case now < r.resumeAt: // as it is
+	case seen.Short && !seen.Warming:
+		r.Size = min(had+1, most)
+	default:
+		r.Size *= 1 - reachDecay
+		r.fails = 0
+	}
+	return int(r.Size) != int(had)
+}
--- a/internal/subset/subset_test.go
+++ b/internal/subset/subset_test.go
@@ -1,6 +1,9 @@
 package subset
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // What the gateways of all zones use together is what Sharers says, or budgets of cold servers would not add up.
 func TestSharersAddUp(t *testing.T) {
@@ -43,3 +46,41 @@
 		t.Errorf("%v servers used by %d gateways, want 1.5 each", whole, gateways)
 	}
 }
+
+func TestReachGrowsShrinksAndRests(t *testing.T) {
+	var r Reach
+	const sample = 250 * time.Millisecond
+	now := time.Duration(0)
+	play := func(n int, seen Signs) float64 {
+		for range n {
+			now += sample
+			r.Sample(now, seen, 12, time.Second)
+		}
+		return r.Size
+	}
+	steps := []struct {
+		what string
+		n    int
+		seen Signs
+		want float64
+	}{
+		{"nothing to do", 4, Signs{}, 0},
+		{"the even part warms", 4, Signs{Short: true, Warming: true}, 0},
+		{"short of room", 8, Signs{Short: true}, 8},
+		{"short, and all servers used", 8, Signs{Short: true}, 12},
+		{"one is full", 1, Signs{Short: true, Full: true}, 6},
+		{"rest", 3, Signs{Short: true}, 6},
+		{"grown again", 2, Signs{Short: true}, 8},
+		{"full once more", 1, Signs{Short: true, Full: true}, 4},
+		{"a rest twice as long", 7, Signs{Short: true}, 4},
+		{"and grown", 1, Signs{Short: true}, 5},
+	}
+	for _, s := range steps {
+		if got := play(s.n, s.seen); got != s.want {
+			t.Errorf("%s: %v servers, want %v", s.what, got, s.want)
+		}
+	}
+	if got := play(4*60, Signs{}); got > 0.2 {
+		t.Errorf("%v servers a minute later", got)
+	}
+}
