Look at a keyed request's window again when its attempt's connection has come up

Cause: mayResend looks at the window when the module decides; the gateway writes when the connection is up (serverEvent, loop.Connected), which may be connect_timeout_ms later. Ruled out: a repeat decided too late (the check has two ticks in hand, the unit test TestKeyedRepeatsStayInGroupAndWindow holds it) and a resend by an idle connection found dead (written in the step in which it was decided).

Change: MayBegin asks the same question at the moment of writing; an attempt that may not begin ends as EndWindow, which never ran.

--- a/balancer.go
+++ b/balancer.go
@@ -879,12 +879,14 @@
 // mayResend guards the rule that no effect happens twice: an unsafe request goes out again only if it never
 // ran, a keyed one only to the group and within the window of each attempt that may have run.
 func (b *Balancer) mayResend(r *request, s *server) bool {
-	if r.open > 0 || len(r.attempts) >= b.cfg.MaxAttempts {
-		return false
-	}
+	return r.open == 0 && len(r.attempts) < b.cfg.MaxAttempts && b.allowed(r, r.attempts, s)
+}
+
+// allowed reports whether r may be sent to s now, after these attempts.
+func (b *Balancer) allowed(r *request, earlier []attempt, s *server) bool {
 	c := &b.classes[r.Class]
-	for i := range r.attempts {
-		a := &r.attempts[i]
+	for i := range earlier {
+		a := &earlier[i]
 		if a.unrun || c.Effect == Safe {
 			continue
 		}
@@ -895,15 +897,12 @@
 	return true
 }
 
-func sameGroup(g Group, a, s *server) bool {
-	switch g {
-	case GroupAll:
-		return true
-	case GroupZone:
-		return a.Zone == s.Zone
-	default:
-		return a.Zone == s.Zone && a.Cell == s.Cell
-	}
+// MayBegin reports whether an attempt of which nothing is written may still be: connections come up late, and
+// the window of a keyed request ends by the moment of sending, not by that of deciding.
+func (b *Balancer) MayBegin(now time.Duration, id RequestID, n int) bool {
+	b.now = now
+	r := b.requests[id]
+	return r != nil && n < len(r.attempts) && b.allowed(r, r.attempts[:n], r.attempts[n].server)
 }
 
 // timeout is how long an attempt is awaited: until the client gives up, but for a trial of an ejected server,
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -624,6 +624,40 @@
 	}
 }
 
+// An attempt whose connection comes up late may no longer begin once the window of the one before it is over; a safe
+// request's may, and so may a keyed one's whose earlier attempt never ran.
+func TestWindowIsLookedAtAgainWhenAnAttemptBegins(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		class   int
+		outcome Outcome
+		after   time.Duration
+		want    bool
+	}{
+		{"keyed, in time", 1, Reset, 100 * millisecond, true},
+		{"keyed, after the window", 1, Reset, 195 * millisecond, false},
+		{"keyed, never ran", 1, Full, 900 * millisecond, true},
+		{"safe", 0, Reset, 900 * millisecond, true},
+	} {
+		cfg := testConfig()
+		cfg.Classes[1].Aim, cfg.Classes[1].Window = 1900*millisecond, 500*millisecond
+		r := newRig(t, cfg, ready(1, 0, 0), ready(2, 0, 0))
+		r.request(1, c.class)
+		first := r.take("send")[0].server
+		r.now += 300 * millisecond
+		r.end(1, 0, first, c.outcome, 300*millisecond)
+		if len(r.take("send")) != 1 {
+			t.Fatalf("%s: not sent again", c.name)
+		}
+		if r.now += c.after; r.b.MayBegin(r.now, 1, 1) != c.want {
+			t.Errorf("%s: may begin = %v", c.name, !c.want)
+		}
+	}
+	if r := newRig(t, testConfig()); r.b.MayBegin(r.now, 9, 0) {
+		t.Error("an attempt of no request may begin")
+	}
+}
+
 // A keyed request of group all may be refused even if it may have run; of a smaller group it may not.
 func TestRefusalsOfKeyedRequests(t *testing.T) {
 	for _, c := range []struct {
--- a/helpers.go
+++ b/helpers.go
@@ -135,3 +135,15 @@
 	}
 	return all.mean
 }
+
+// sameGroup reports whether two servers share what a repeat of a keyed request must keep to.
+func sameGroup(g Group, a, s *server) bool {
+	switch g {
+	case GroupAll:
+		return true
+	case GroupZone:
+		return a.Zone == s.Zone
+	default:
+		return a.Zone == s.Zone && a.Cell == s.Cell
+	}
+}
--- a/internal/gateway/end.go
+++ b/internal/gateway/end.go
@@ -9,6 +9,7 @@
 // open, then the one that served it. The ends of client links and of the watch follow.
 const (
 	EndOver        End = iota // not begun: the query was over, out of time or out of attempts
+	EndWindow                 // its connection came up after the window for repeats: nothing was written
 	EndHostLeft               // the host drains or is gone: nothing was written
 	EndNoRoom                 // no descriptor was left for a link
 	EndUnreached              // the connection was refused or broke while it came up
@@ -34,7 +35,7 @@
 // outcome maps an execution's end to what the module is told, and reports whether there is anything to tell.
 func (e End) outcome() (thymebend.Outcome, bool) {
 	switch e {
-	case EndOver:
+	case EndOver, EndWindow:
 		return thymebend.Moot, true
 	case EndHostLeft, EndNoRoom, EndUnreached, EndNotUp, EndUnsent:
 		return thymebend.ConnectFailed, true
@@ -56,7 +57,7 @@
 
 // String is for log lines.
 func (e End) String() string {
-	names := [...]string{"over", "host left", "no room", "unreached", "not up", "unsent", "turned away", "timed out",
+	names := [...]string{"over", "window over", "host left", "no room", "unreached", "not up", "unsent", "turned away", "timed out",
 		"cut", "garbled", "faulty", "called off", "client gone", "served", "link idle", "answered", "client slow",
 		"list lost", "list silent", "list garbled", "list replaced"}
 	if int(e) < len(names) {
--- a/internal/gateway/fromservers.go
+++ b/internal/gateway/fromservers.go
@@ -63,6 +63,10 @@
 	case loop.Readable:
 		g.ask(loop.Effect{Op: loop.Read, Conn: l.Conn})
 	case loop.Connected:
+		if !g.module.MayBegin(g.now, x.query.id, x.number) {
+			g.endExecution(x, EndWindow, nil)
+			return
+		}
 		g.setTimer(timerExecution, x.id, x.until)
 		g.request(x, loop.Write)
 	case loop.Flushed:
