Hear of a change within 6 s of discovery's return, though one call is lost

Cause, by the sum of the timers: silence was noticed after 3 s, the next call came up to 1.2 s later, was given up after 4.5 s, and the one after that up to 2.4 s later (hostgroup/watch.go, watchFailed in balancer.go); after several failures calls were up to 9.6 s apart, so a host that began to drain as discovery came back could be unknown for longer than the 6 s after which it counts as told.

Change: 2.4 s for a beat, 1.2 s for a connection, 2.7 s for an answer; failed calls begin at most 1.5 s apart, counted from the beginning of the one before; the call after a broken watch or an unanswered call comes at once, spread over 0.4 and 0.2 s. Where lists are pushed, an agent that does not answer beside a silent watch is asked again after 0.2 s.

--- a/balancer.go
+++ b/balancer.go
@@ -1279,15 +1279,18 @@
 	b.out.Watch()
 }
 
-// watchFailed asks again later, each time later and never in step with other gateways.
+// watchFailed asks again, never in step with other gateways. Calls that fail begin further apart each time, up
+// to a bound; one that follows a watch, or a call that went long unanswered, comes at once.
 func (b *Balancer) watchFailed() {
+	stood := b.watching
 	b.asking, b.watching = false, false
 	if !b.cfg.AskForList {
 		return
 	}
-	delay := scale(b.meanAim(), float64(int(1)<<min(b.askFails, maxBackoff))*(0.5+b.rng.Float64()))
+	apart := min(scale(b.meanAim(), float64(int(1)<<min(b.askFails, maxBackoff))), AskApart)
+	next := b.askedAt + scale(apart, 0.5+b.rng.Float64()/2)
 	b.askFails++
-	b.out.Wake(delay, tokenWatch)
+	b.out.Wake(max(next-b.now, scale(AskSpread, b.rng.Float64()/float64(2-index(stood)))), tokenWatch)
 }
 
 // checkWatch asks again if a call was never answered.
--- a/internal/gateway/fromlist.go
+++ b/internal/gateway/fromlist.go
@@ -76,7 +76,8 @@
 func (g *Gateway) watchEvent(w *hostgroup.Watch, e loop.Event) {
 	switch e.Kind {
 	case loop.Connected:
-		g.write(e.Conn, g.group.Request(w.Addr))
+		g.write(e.Conn, g.group.Request(w))
+		g.setTimer(timerWatch, uint64(w.Conn), g.now+w.Patience())
 	case loop.Readable:
 		g.ask(loop.Effect{Op: loop.Read, Conn: e.Conn})
 	case loop.Data:
@@ -143,6 +144,8 @@
 		g.setTimer(timerMove, 0, g.now+moveAgain)
 	case g.watch == nil:
 		g.lost = true
+	case moving && g.watch.Addr == g.cfg.Discovery && g.pushed():
+		g.setTimer(timerWatch, uint64(g.watch.Conn), g.now+moveAgain) // the watch is silent: the agent is asked beside it again
 	case moving && g.watch.Addr == g.cfg.Discovery:
 		g.setTimer(timerWatch, uint64(g.watch.Conn), g.now+g.watch.Patience())
 	case moving:
--- a/internal/hostgroup/watch.go
+++ b/internal/hostgroup/watch.go
@@ -11,11 +11,14 @@
 	"thymebend/internal/loop"
 )
 
-// How long discovery may be silent. A call waits in turn before its answer begins; from then on a line comes
-// every 2 s. What discovery has to tell counts as told 6 s later, so silence must be noticed well before.
+// How long discovery may be silent. A connection that is not up after a second's resend of the kernel's has met nobody. A call waits in
+// turn before its answer begins; from then on a line comes every 2 s. What discovery has to tell counts as told 6 s after
+// it could be reached: a watch that falls silent, the call after it that is never answered, and the one after that must
+// all fit in; docs/design/discovery-times.md has the sum.
 const (
-	AnswerWithin = 4500 * time.Millisecond
-	BeatWithin   = 3 * time.Second
+	UpWithin     = 1200 * time.Millisecond
+	AnswerWithin = 2700 * time.Millisecond
+	BeatWithin   = 2400 * time.Millisecond
 )
 
 // mostPending bounds an unfinished line of the watch: thousands of hosts.
@@ -27,6 +30,7 @@
 	Addr    netip.AddrPort
 	reader  http1.Reader
 	pending []byte
+	up      bool // its connection has come up
 	started bool // its first line has come
 }
 
@@ -35,10 +39,11 @@
 	return &Watch{Conn: conn, Addr: at, reader: http1.Reader{Response: true, Stream: true}}
 }
 
-// Request is the call for what changed since the list that the group has.
-func (g *Group) Request(at netip.AddrPort) []byte {
+// Request is the call for what changed since the list that the group has, once the watch's connection is up.
+func (g *Group) Request(w *Watch) []byte {
+	w.up = true
 	return http1.AppendRequest(nil, "GET", "/v1/servers?stream=1&index="+strconv.FormatUint(g.seq, 10),
-		[]http1.Field{{Name: "Host", Value: at.String()}}, nil)
+		[]http1.Field{{Name: "Host", Value: w.Addr.String()}}, nil)
 }
 
 // Feed takes what discovery wrote and returns the whole lines. An empty line is a beat. ended tells that the
@@ -73,8 +78,12 @@
 
 // Patience is how long the watch may now be silent.
 func (w *Watch) Patience() time.Duration {
-	if w.started {
+	switch {
+	case w.started:
 		return BeatWithin
+	case w.up:
+		return AnswerWithin
+	default:
+		return UpWithin
 	}
-	return AnswerWithin
 }
