See a client leave whose link is read no further, and let answered links give way

Cause: Mute took a link out of epoll but for errors, so the end of a client that sent far ahead, or whose large body waited for its host, was seen only once the link was read again; until then its request was dispatched like any other (loop.wanted, gateway.mute). Links that linger after their last answer held descriptors for up to 5 s and never gave way.

Change: an effect Mute with Leaving has the loop watch for EPOLLRDHUP and tell Leaving once; the client's link ends as one that left. Both loops, two conformance cases. A link that has its last answer gives way first, after 50 ms. Idle links keep their close after one more look: what crosses it is reset, which tells the client that nobody took it.

Test: TestLeavingIsSeenOnALinkThatIsNotRead; without the flag the client's end is seen 6.4 s late, or not at all. The tests' gateways and the conformance suite now have ports that nobody else gets, and a listener that is refused fails the suite, where it would have waited for ever: the package's tests hung for 10 minutes once. That this was the cause is not shown; 15 runs alone and 48 beside others did not hang.

--- a/cmd/thymebend/crossing_test.go
+++ b/cmd/thymebend/crossing_test.go
@@ -105,3 +105,41 @@
 		t.Errorf("answered %d, want 502: it may have run", status)
 	}
 }
+
+// A client whose link is read no further, for what it sent ahead or for a body that waits for its host, leaves while its
+// request waits for a first attempt: nothing of it is sent on when a host comes.
+func TestLeavingIsSeenOnALinkThatIsNotRead(t *testing.T) {
+	for name, raw := range map[string]string{
+		"sent far ahead":          view("gone", 25000) + strings.Repeat(view("more", 1900), 1100),
+		"in the middle of a body": strings.NewReplacer("Content-Length: 92160", "Content-Length: 200000", "2500m", "25000m").Replace(lodge("gone", strings.Repeat("x", 90<<10))),
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHost(t, "s-1", ok)
+			empty := list(1, true)
+			long := map[string]any{"settings": json.RawMessage(strings.NewReplacer(`"aim_ms":800`, `"aim_ms":20000`,
+				`"give_up_ms":2000`, `"give_up_ms":25000`, `"give_up_ms":2500`, `"give_up_ms":25000`).Replace(testSettings))}
+			g := startLoose(t, long, empty, newDiscovery(t, func(int) string { return empty }))
+			<-g.disc.calls
+			c := g.dial()
+			if _, err := io.WriteString(c, raw); err != nil {
+				t.Fatal(err)
+			}
+			until(t, "the link to be read no further", func() bool { return strings.Contains(g.log.String(), "read no further") })
+			c.Close()
+			left := time.Now()
+			until(t, "the client's end to be seen", func() bool { return strings.Contains(g.log.String(), `"end":"client gone"`) })
+			if late := time.Since(left); late > 2*time.Second { // the request is refused some 6 s after it came, and the link read on
+				t.Errorf("seen after %v", late)
+			}
+			g.disc.tell <- list(2, false, entry(h, "up"))
+			if status, _, _ := ask(t, g.dial(), view("stays", 25000)); status != 200 {
+				t.Errorf("a client that stays got %d", status)
+			}
+			h.count(func() {
+				if h.conns != 1 || len(h.asked) != 1 || h.asked[0] != "stays" {
+					t.Errorf("%d connections, asked %v", h.conns, h.asked)
+				}
+			})
+		})
+	}
+}
--- a/cmd/thymebend/helper_test.go
+++ b/cmd/thymebend/helper_test.go
@@ -17,6 +17,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // The tests start the real program and play its peers: clients, hosts and discovery, on loopback.
@@ -212,12 +214,32 @@
  "classes":[{"name":"view","aim_ms":800,"give_up_ms":2000,"repeat":"repeatable","worth":1},
   {"name":"lodge","aim_ms":800,"give_up_ms":2500,"repeat":"once","worth":8}]}`
 
+// ownAddress is an address for a gateway. A socket that does not listen has its port for as long as the test lasts, so that
+// nobody gets it but who asks for it by SO_REUSEPORT, as the gateway does.
+func ownAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err == nil {
+		t.Cleanup(func() { _ = unix.Close(fd) })
+		err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+	}
+	if err == nil {
+		err = unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})
+	}
+	var at unix.Sockaddr
+	if err == nil {
+		at, err = unix.Getsockname(fd)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", at.(*unix.SockaddrInet4).Port)
+}
+
 // configure writes a configuration and returns the program ready to start. edit may change its fields.
 func configure(t *testing.T, known string, disc string, edit map[string]any) (*exec.Cmd, string) {
 	t.Helper()
-	probe := listen(t)
-	addr := probe.Addr().String()
-	probe.Close()
+	addr := ownAddress(t)
 	fields := map[string]any{"name": "n0", "listen": addr, "discovery": disc, "seed": "8c1f30d27a5be964",
 		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
 		"known":    json.RawMessage(known),
@@ -250,6 +272,30 @@
 }
 
 func startWith(t *testing.T, edit map[string]any, known string, d *discovery) *rig {
+	t.Helper()
+	r := launch(t, edit, known, d)
+	until(t, "the gateway to be ready", func() bool {
+		c, err := net.Dial("tcp", r.addr)
+		if err != nil {
+			return false
+		}
+		defer c.Close()
+		status, _, _ := ask(t, c, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+		return status == 200
+	})
+	return r
+}
+
+// startLoose runs a gateway that knows no host, and waits until it takes clients.
+func startLoose(t *testing.T, edit map[string]any, known string, d *discovery) *rig {
+	t.Helper()
+	r := launch(t, edit, known, d)
+	until(t, "the gateway to take clients", func() bool { return strings.Contains(r.log.String(), "taking clients") })
+	return r
+}
+
+// launch runs a gateway and does not wait.
+func launch(t *testing.T, edit map[string]any, known string, d *discovery) *rig {
 	t.Helper()
 	cmd, addr := configure(t, known, d.ln.Addr().String(), edit)
 	path := strings.TrimPrefix(cmd.Env[len(cmd.Env)-2], "LB_CONFIG=")
@@ -270,15 +316,6 @@
 			t.Logf("log of the gateway:\n%s", r.log)
 		}
 	})
-	until(t, "the gateway to be ready", func() bool {
-		c, err := net.Dial("tcp", addr)
-		if err != nil {
-			return false
-		}
-		defer c.Close()
-		status, _, _ := ask(t, c, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
-		return status == 200
-	})
 	return r
 }
 
--- a/internal/clients/link.go
+++ b/internal/clients/link.go
@@ -56,7 +56,7 @@
 	Queries int           // how many queries came on it
 	Since   time.Duration // of its accept or its last answer
 	Timed   bool          // the rest of a request is awaited for a limited time
-	LastAsk bool          // is looked at once more before it is closed
+	LastAsk bool          // is looked at once more before it ends
 	Upload  bool          // a body is being taken in pieces and has not ended
 	Drop    bool          // what still comes is of a body that nobody wants
 	Began   time.Duration // of the request that is coming
--- a/internal/clients/links.go
+++ b/internal/clients/links.go
@@ -17,8 +17,8 @@
 	Many   int // past it links that are not used again are closed, see Spent
 	// Nothing has come yet, by their accept; a first request is half read, by its last byte; at rest after one query,
 	// and after several; a later request is half read; at rest after looks at the health alone: the first query is to
-	// come.
-	fresh, halfFirst, once, rested, halfLater, looked queue
+	// come; our sending has ended, after the last answer.
+	parted, fresh, halfFirst, once, rested, halfLater, looked queue
 }
 
 // NewLinks returns room for so many links.
@@ -48,7 +48,9 @@
 func (s *Links) Place(l *Link) {
 	l.leave()
 	switch {
-	case l.Busy, l.Ended, l.LastAsk:
+	case l.Busy, l.LastAsk:
+	case l.Ended:
+		s.parted.add(l)
 	case l.Pending() && l.Asked:
 		s.halfLater.add(l)
 	case l.Pending():
@@ -65,14 +67,16 @@
 }
 
 // GivesWay returns the link that gives way first where links run short, or nil if none may. Guards against crowds that
-// connect and ask nothing, ask once and stay, or never end a request. Those that have said nothing for FirstSoon go
-// first, then those at rest, which costs their clients a new connection and no request, those
-// that brought one query before those that brought more, then those whose
-// request has stood still for GoesOnWithin. Those that are young or have only asked for health go last, as their first query is
-// to come and would be lost with them. A request that goes on coming is never cut.
+// connect and ask nothing, ask once and stay, or never end a request. Those go before all
+// that have their last answer and whose client has had time to take it, then those that have said nothing for FirstSoon,
+// then those at rest, which costs their clients a new connection and no request, those that brought one query before those
+// that brought more, then those whose request has stood still for GoesOnWithin. Those that are young or have only asked for
+// health go last, as their first query is to come and would be lost with them. A request that goes on coming is never cut.
 func (s *Links) GivesWay(now time.Duration) *Link {
 	quiet := func(q *queue, since time.Duration) bool { return q.head != nil && now-q.head.heard >= since }
 	switch {
+	case s.parted.head != nil && now-s.parted.head.Since >= SpeaksWithin:
+		return s.parted.head
 	case quiet(&s.fresh, FirstSoon):
 		return s.fresh.head
 	case quiet(&s.looked, RestsFor):
--- a/internal/gateway/fromclients.go
+++ b/internal/gateway/fromclients.go
@@ -77,6 +77,8 @@
 		switch {
 		case l == nil:
 			return room
+		case l.Ended:
+			g.dropClient(l, EndAnswered)
 		case l.Pending():
 			// What has come was read: the answer goes out with the close.
 			g.write(l.Conn, clients.TooSlow())
@@ -131,7 +133,7 @@
 		if l.LastAsk && !l.Busy && !l.Pending() {
 			g.dropClient(l, EndLinkIdle)
 		}
-	case loop.EOF, loop.Broken:
+	case loop.EOF, loop.Broken, loop.Leaving:
 		end := EndClientGone
 		if l.Ended {
 			end = EndAnswered
@@ -280,7 +282,10 @@
 	g.advance(l)
 }
 
-// lookAndClose closes an idle link after one more look: a request that lies in it unread would be lost.
+// lookAndClose closes an idle link after one more look: a request that lies in it unread would be lost. One that comes
+// between that look and the close, or after it, is read by nobody, and the system resets the connection: that tells the
+// client that it was not taken. To linger here, as after a last answer, would read it and say nothing; and there is no
+// answer to protect, for a client that asks again has read the one before.
 func (g *Gateway) lookAndClose(l *clients.Link) {
 	l.LastAsk = true
 	g.links.Place(l)
--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -28,10 +28,13 @@
 	g.setTimer(timerClient, uint64(l.Conn), g.now+clients.StandsFor)
 }
 
+// mute reads a link no further. Its client's end is still told, though it lies behind what is not read: nothing may
+// be sent on for one who has left.
 func (g *Gateway) mute(l *clients.Link) {
 	if !l.Muted {
 		l.Muted = true
-		g.ask(loop.Effect{Op: loop.Mute, Conn: l.Conn})
+		g.log.Debug().Uint64("link", uint64(l.Conn)).Msg("client link is read no further for now")
+		g.ask(loop.Effect{Op: loop.Mute, Conn: l.Conn, Leaving: true})
 	}
 }
 
--- a/internal/lab/virtual/conform_test.go
+++ b/internal/lab/virtual/conform_test.go
@@ -48,7 +48,7 @@
 	defer s.mu.Unlock()
 	kinds := map[loop.Kind]string{loop.Accepted: "accepted", loop.Connected: "connected", loop.Data: "data", loop.EOF: "eof",
 		loop.Broken: "broken", loop.Flushed: "flushed", loop.Stale: "stale", loop.TimerDue: "timer", loop.File: "file", loop.Stop: "stop",
-		loop.Reload: "reload", loop.AcceptFailed: "accept failed"}
+		loop.Reload: "reload", loop.AcceptFailed: "accept failed", loop.Leaving: "leaving"}
 	if k := kinds[e.Kind]; k != "" {
 		text := k
 		switch e.Kind {
@@ -221,6 +221,30 @@
 			}
 			return nil
 		}), steps: []step{{func(p peer) { p.connect(); p.send(4) }, []string{"accepted c1", "timer 1", "data c1 4"}}}},
+		{name: "muted, the peer's end behind unread bytes", on: plain(func(_ *script, _ time.Duration, e loop.Event) []loop.Effect {
+			switch e.Kind {
+			case loop.Accepted:
+				return []loop.Effect{{Op: loop.Mute, Conn: e.Conn, Leaving: true}}
+			case loop.Leaving:
+				return []loop.Effect{{Op: loop.Unmute, Conn: e.Conn}}
+			case loop.EOF:
+				return []loop.Effect{{Op: loop.Close, Conn: e.Conn}}
+			}
+			return nil
+		}), steps: []step{{func(p peer) { p.connect(); p.send(4) }, []string{"accepted c1"}},
+			{func(p peer) { p.shut() }, []string{"leaving c1", "data c1 4", "eof c1"}}}, end: "eof"},
+		{name: "muted, the peer's end not asked for", on: plain(func(_ *script, now time.Duration, e loop.Event) []loop.Effect {
+			switch e.Kind {
+			case loop.Accepted:
+				muted = e.Conn
+				return []loop.Effect{{Op: loop.Mute, Conn: e.Conn}, {Op: loop.SetTimer, Timer: loop.Timer{ID: 1}, At: now + 200*time.Millisecond}}
+			case loop.TimerDue:
+				return []loop.Effect{{Op: loop.Unmute, Conn: muted}}
+			case loop.EOF:
+				return []loop.Effect{{Op: loop.Close, Conn: e.Conn}}
+			}
+			return nil
+		}), steps: []step{{func(p peer) { p.connect(); p.send(4); p.shut() }, []string{"accepted c1", "timer 1", "data c1 4", "eof c1"}}}, end: "eof"},
 		{name: "a quiet write to one who has left", on: plain(func(_ *script, now time.Duration, e loop.Event) []loop.Effect {
 			switch e.Kind {
 			case loop.Accepted:
@@ -316,15 +340,20 @@
 	}
 }
 
-// takenAndDead is a port of this machine at which connections are refused for as long as the test lasts: a socket has it that does not listen, so that
-// nobody else's does.
-func takenAndDead(t *testing.T) uint16 {
+// taken is a port of this machine that a socket has for as long as the test lasts, which does not listen: connections to
+// it are refused. Nobody else gets it, unless it is shared, and then only who asks for it by SO_REUSEPORT, as the loop does.
+func taken(t *testing.T, shared bool) uint16 {
 	t.Helper()
 	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = unix.Close(fd) })
+	if shared {
+		if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1); err != nil {
+			t.Fatal(err)
+		}
+	}
 	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
 		t.Fatal(err)
 	}
@@ -390,19 +419,13 @@
 func (p *realPeer) end() string { p.mu.Lock(); defer p.mu.Unlock(); return p.ended }
 
 func onReal(t *testing.T, c testCase) {
-	free := func() (net.Listener, uint16) {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		return ln, uint16(ln.Addr().(*net.TCPAddr).Port)
+	dead := taken(t, false)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
 	}
-	own, port := free()
-	own.Close()
-	dead := takenAndDead(t)
-	ln, _ := free()
 	defer ln.Close()
-	at := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
+	at := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), taken(t, true))
 	p := &realPeer{t: t, at: at.String(), ln: ln, dead: dead, conns: make(chan net.Conn, 4)}
 	go func() {
 		for {
@@ -418,13 +441,13 @@
 		t.Fatal(err)
 	}
 	l.Notify(syscall.SIGUSR1, syscall.SIGUSR2)
-	quit, listening := make(chan bool), make(chan bool)
+	quit, listening := make(chan bool), make(chan error, 1)
 	s := &script{names: make(map[loop.Conn]string)}
 	inner := c.on(p)
 	s.on = func(s *script, now time.Duration, e loop.Event) []loop.Effect {
 		var list []loop.Effect
-		if e.Kind == loop.Listening && e.Conn == loop.Listener {
-			close(listening)
+		if e.Conn == loop.Listener && (e.Kind == loop.Listening || e.Kind == loop.Broken) {
+			listening <- e.Err
 		}
 		if e.Timer.Kind != 9 {
 			list = inner(s, now, e)
@@ -445,7 +468,9 @@
 	}
 	done := make(chan error, 1)
 	go func() { done <- l.Run(s) }()
-	<-listening
+	if err := <-listening; err != nil {
+		t.Fatal(err)
+	}
 	var want []string
 	told := func() []string {
 		return slices.DeleteFunc(s.told(), func(x string) bool { return x == "timer 99" })
--- a/internal/lab/virtual/loop.go
+++ b/internal/lab/virtual/loop.go
@@ -33,6 +33,7 @@
 	up         bool
 	dialed     error
 	muted      bool
+	leaving    bool // while muted: the end of the peer's sending is to be told
 	urgent     bool
 	out        []byte
 	hot        bool // is in the loop's list of those that may be ready
@@ -293,7 +294,7 @@
 		return s.up
 	}
 	e := s.end
-	return !s.muted && (len(e.inbox) > 0 || e.fin) || e.reset || e.fin && e.shut || len(s.out) > 0 && e.room > 0
+	return !s.muted && (len(e.inbox) > 0 || e.fin) || s.leaving && e.fin || e.reset || e.fin && e.shut || len(s.out) > 0 && e.room > 0
 }
 
 // heat notes that a socket may be ready.
@@ -419,6 +420,11 @@
 	if len(s.out) > 0 && (e.room > 0 || e.reset) {
 		l.flush(s)
 	}
+	if l.socks[s.conn] == s && s.leaving && e.fin && !e.reset && !e.shut {
+		s.leaving = false
+		l.tell(loop.Event{Kind: loop.Leaving, Conn: s.conn})
+		return
+	}
 	if l.socks[s.conn] == s && (!s.muted && (len(e.inbox) > 0 || e.fin) || e.reset || e.fin && e.shut) {
 		l.tell(loop.Event{Kind: loop.Readable, Conn: s.conn})
 	}
@@ -501,7 +507,7 @@
 	case loop.Close:
 		l.remove(s)
 	case loop.Mute, loop.Unmute:
-		s.muted = f.Op == loop.Mute
+		s.muted, s.leaving = f.Op == loop.Mute, f.Op == loop.Mute && f.Leaving
 		l.heat(s)
 	default:
 		panic(fmt.Sprintf("effect %d is not known", f.Op))
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -27,6 +27,7 @@
 	gen        int32 // tells it from an earlier socket with the same descriptor
 	connecting bool
 	muted      bool
+	leaving    bool // while muted: the end of the peer's sending is to be told
 	urgent     bool
 	shared     bool // was passed: another process has it, or had it
 	unix       bool // a Unix socket, by which others are passed
@@ -199,7 +200,14 @@
 	if events&unix.EPOLLOUT != 0 {
 		l.flush(s)
 	}
-	if events&(unix.EPOLLIN|unix.EPOLLHUP|unix.EPOLLERR|unix.EPOLLRDHUP) != 0 && l.byConn[s.conn] == s {
+	if l.byConn[s.conn] != s {
+		return
+	}
+	if s.muted && s.leaving && events&unix.EPOLLRDHUP != 0 && events&(unix.EPOLLHUP|unix.EPOLLERR) == 0 {
+		s.leaving = false
+		l.arm(s)
+		l.tell(Event{Kind: Leaving, Conn: s.conn})
+	} else if events&(unix.EPOLLIN|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
 		l.tell(Event{Kind: Readable, Conn: s.conn})
 	}
 }
@@ -283,7 +291,7 @@
 	case Close:
 		l.remove(s)
 	case Mute, Unmute:
-		s.muted = f.Op == Mute
+		s.muted, s.leaving = f.Op == Mute, f.Op == Mute && f.Leaving
 		l.arm(s)
 	}
 }
--- a/internal/loop/sockets.go
+++ b/internal/loop/sockets.go
@@ -38,13 +38,17 @@
 }
 
 func (s *socket) wanted() uint32 {
+	leaving := uint32(0)
+	if s.leaving {
+		leaving = unix.EPOLLRDHUP
+	}
 	switch {
 	case s.connecting:
 		return unix.EPOLLOUT
 	case s.muted && len(s.out) > 0:
-		return unix.EPOLLOUT
+		return unix.EPOLLOUT | leaving
 	case s.muted:
-		return 0
+		return leaving
 	case len(s.out) > 0:
 		return unix.EPOLLIN | unix.EPOLLOUT
 	default:
--- a/internal/loop/types.go
+++ b/internal/loop/types.go
@@ -44,6 +44,7 @@
 	Broken
 	Flushed
 	Stale
+	Leaving // the peer of a muted socket has ended its sending, behind what lies unread; see Effect.Leaving
 	Listening
 	TimerDue
 	Start // once, before anything else
@@ -96,19 +97,20 @@
 
 // Effect is one thing that the reducer wants done. Data is written or copied before the next Step.
 type Effect struct {
-	Op     Op
-	Conn   Conn
-	Urgent bool // with Dial and Listen: its news, and those of what it accepts, are told before those of other sockets
-	Addr   netip.AddrPort
-	Data   []byte
-	Path   string
-	Most   int // with Accept: so many sockets at most, 0 for as many as get a turn
-	Give   []Conn
-	As     Conn
-	Bytes  int64
-	Timer  Timer
-	At     time.Duration
-	Failed error // with Exit: what the program could not start for
+	Op      Op
+	Conn    Conn
+	Urgent  bool // with Dial and Listen: its news, and those of what it accepts, are told before those of other sockets
+	Addr    netip.AddrPort
+	Data    []byte
+	Path    string
+	Leaving bool // with Mute: Leaving is told, once, when the peer ends its sending meanwhile
+	Most    int  // with Accept: so many sockets at most, 0 for as many as get a turn
+	Give    []Conn
+	As      Conn
+	Bytes   int64
+	Timer   Timer
+	At      time.Duration
+	Failed  error // with Exit: what the program could not start for
 }
 
 // Reducer holds all state. Step takes one event and returns the effects, valid until the next Step.
