Tell an end in the round in which it is known, before anything is dispatched

Cause: a readable socket is read once a round, and the end behind the data was told in the next one, after the Turn that dispatches (loop.read). Change: epoll is asked for EPOLLRDHUP on what is read; where it tells so, the end follows the data in the same round. It costs no system call. A link that was muted meanwhile has Leaving told instead. Both loops, one conformance case, which has the reducer note a Turn between the two. With it a host's answer and its end come together too.

A request between the last look and the close is played on the virtual loop.

--- a/internal/lab/virtual/conform_test.go
+++ b/internal/lab/virtual/conform_test.go
@@ -245,6 +245,22 @@
 			}
 			return nil
 		}), steps: []step{{func(p peer) { p.connect(); p.send(4); p.shut() }, []string{"accepted c1", "timer 1", "data c1 4", "eof c1"}}}, end: "eof"},
+		{name: "an end behind data is told in the same round", on: plain(func(s *script, now time.Duration, e loop.Event) []loop.Effect {
+			switch e.Kind {
+			case loop.Accepted:
+				muted = e.Conn
+				return []loop.Effect{{Op: loop.Mute, Conn: e.Conn}, {Op: loop.SetTimer, Timer: loop.Timer{ID: 1}, At: now + 200*time.Millisecond}}
+			case loop.TimerDue:
+				return []loop.Effect{{Op: loop.Unmute, Conn: muted}}
+			case loop.Turn:
+				if n := len(s.log); n > 0 && strings.HasPrefix(s.log[n-1], "data") {
+					s.log = append(s.log, "turn")
+				}
+			case loop.EOF:
+				return []loop.Effect{{Op: loop.Close, Conn: e.Conn}}
+			}
+			return nil
+		}), steps: []step{{func(p peer) { p.connect(); p.send(4); p.shut() }, []string{"accepted c1", "timer 1", "data c1 4", "eof c1"}}}, end: "eof"},
 		{name: "a quiet write to one who has left", on: plain(func(_ *script, now time.Duration, e loop.Event) []loop.Effect {
 			switch e.Kind {
 			case loop.Accepted:
--- a/internal/lab/virtual/loop.go
+++ b/internal/lab/virtual/loop.go
@@ -392,6 +392,9 @@
 func (l *Loop) drain() {
 	for i := 0; i < len(l.queue) && l.Running(); i++ {
 		e := l.queue[i]
+		if e.Kind == more && !l.readOn(&e) {
+			continue
+		}
 		l.busy = max(l.busy, l.sim.Now()) + l.Cost
 		for _, f := range l.reducer.Step(l.sim.Now(), e) {
 			l.sim.effect(f)
@@ -406,6 +409,24 @@
 	}
 }
 
+// more is told by the loop to itself: the end of what comes lies behind what was just read.
+const more loop.Kind = 255
+
+// readOn is the real loop's.
+func (l *Loop) readOn(e *loop.Event) bool {
+	s := l.socks[e.Conn]
+	switch {
+	case s == nil, s.muted && !s.leaving:
+		return false
+	case s.muted:
+		s.leaving = false
+		e.Kind = loop.Leaving
+	default:
+		e.Kind = loop.Readable
+	}
+	return true
+}
+
 func (l *Loop) happened(s *socket) {
 	if s.connecting {
 		if s.dialed != nil {
@@ -619,6 +640,9 @@
 		}
 		data := append([]byte(nil), e.Read(most)...)
 		l.tell(loop.Event{Kind: loop.Data, Conn: s.conn, Data: data, Passed: l.received(e)})
+		if e.fin {
+			l.tell(loop.Event{Kind: more, Conn: s.conn})
+		}
 	case e.reset:
 		l.fail(s, unix.ECONNRESET)
 	case e.fin:
--- a/internal/lab/virtual/times_test.go
+++ b/internal/lab/virtual/times_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -105,7 +106,7 @@
 }
 
 // gatewayOn starts a gateway that asks, or is told by, a registry.
-func gatewayOn(t *testing.T, sim *Sim, net *Net, at netip.AddrPort, mode string) *Loop {
+func gatewayOn(t *testing.T, sim *Sim, net *Net, at netip.AddrPort, mode string, wrap func(*Loop, loop.Reducer) loop.Reducer) *Loop {
 	t.Helper()
 	raw, err := json.Marshal(map[string]any{"name": "g", "listen": "10.1.0.1:8443", "discovery": at.String(), "seed": fmt.Sprintf("%016x", sim.Rand.Uint64()),
 		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 256}, "known": json.RawMessage(`{"seq":1,"whole":true,"hosts":[]}`),
@@ -119,7 +120,11 @@
 		t.Fatal(err)
 	}
 	l := NewLoop(sim, net, nil, func(error) {})
-	l.Run(gateway.New(cfg, zerolog.Nop()))
+	var r loop.Reducer = gateway.New(cfg, zerolog.Nop())
+	if wrap != nil {
+		r = wrap(l, r)
+	}
+	l.Run(r)
 	return l
 }
 
@@ -186,7 +191,7 @@
 		return served
 	}
 	r.prepare()
-	l := gatewayOn(t, sim, net, r.at, mode)
+	l := gatewayOn(t, sim, net, r.at, mode, nil)
 	sim.At(epoch+sim.Between(300*time.Millisecond, 14*time.Second), func() {
 		reachable, first, from = true, r.calls, sim.Now()
 		for e := range r.open {
@@ -217,3 +222,31 @@
 	}
 	return told - from
 }
+
+// A request comes between the gateway's last look at a resting connection and its close: it is taken by nobody, and a reset
+// tells its client so. No kernel can be held there, so the look's answer is.
+func TestRequestBetweenTheLastLookAndTheClose(t *testing.T) {
+	const health, crossed = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n", "GET /view HTTP/1.1\r\nHost: x\r\nX-Trace-Id: a\r\nX-Qos: view\r\nX-Expires-In: 900m\r\n\r\n"
+	sim := NewSim(1, nil)
+	net := NewNet(sim)
+	came := false
+	gatewayOn(t, sim, net, netip.MustParseAddrPort("10.2.0.1:8500"), "subscribe", func(l *Loop, r loop.Reducer) loop.Reducer {
+		return &defect{Reducer: r, hear: func(_ *defect, e *loop.Event) bool {
+			if s := l.socks[e.Conn]; e.Kind == loop.Drained && s != nil && e.Conn >= firstAccepted {
+				came = true
+				s.end.inbox = append(s.end.inbox, crossed...)
+			}
+			return true
+		}}
+	})
+	var client *End
+	client = net.Dial(netip.MustParseAddrPort("10.1.0.1:8443"), nil, func(error) { _, _ = client.Write([]byte(health)) })
+	sim.Run(epoch + 10*time.Second)
+	if client.Gone() || !strings.Contains(string(client.Read(1<<10)), " 503 ") { // it has no host
+		t.Fatal("the gateway does not answer")
+	}
+	sim.Run(epoch + 5*time.Minute)
+	if !came || !client.reset || len(client.inbox) > 0 {
+		t.Errorf("the look was answered: %v; the client was reset: %v, and told %q", came, client.reset, client.inbox)
+	}
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -27,6 +27,7 @@
 	gen        int32 // tells it from an earlier socket with the same descriptor
 	connecting bool
 	muted      bool
+	ending     bool // the peer has ended its sending
 	leaving    bool // while muted: the end of the peer's sending is to be told
 	urgent     bool
 	shared     bool // was passed: another process has it, or had it
@@ -162,6 +163,9 @@
 func (l *Loop) drain(r Reducer) {
 	for i := 0; i < len(l.queue); i++ {
 		e := l.queue[i]
+		if e.Kind == more && !l.readOn(&e) {
+			continue
+		}
 		effects := r.Step(l.clock.Now(), e)
 		if e.Kind == Data && &e.Data[0] == &l.buf[0] {
 			l.bufInUse = false
@@ -174,6 +178,23 @@
 	l.queue = l.queue[:0]
 }
 
+// readOn turns the news that an end lies behind what was read into what the reducer is told of it: an end is told in the
+// round in which it is known, so that nothing is dispatched meanwhile for one who has left.
+func (l *Loop) readOn(e *Event) bool {
+	s := l.byConn[e.Conn]
+	switch {
+	case s == nil, s.muted && !s.leaving:
+		return false
+	case s.muted:
+		s.leaving = false
+		l.arm(s)
+		e.Kind = Leaving
+	default:
+		e.Kind = Readable
+	}
+	return true
+}
+
 func (l *Loop) signalled() {
 	var count [8]byte
 	_, _ = unix.Read(l.wake, count[:]) // empties it; nothing else reads it
@@ -203,6 +224,7 @@
 	if l.byConn[s.conn] != s {
 		return
 	}
+	s.ending = s.ending || events&unix.EPOLLRDHUP != 0
 	if s.muted && s.leaving && events&unix.EPOLLRDHUP != 0 && events&(unix.EPOLLHUP|unix.EPOLLERR) == 0 {
 		s.leaving = false
 		l.arm(s)
--- a/internal/loop/sockets.go
+++ b/internal/loop/sockets.go
@@ -50,9 +50,9 @@
 	case s.muted:
 		return leaving
 	case len(s.out) > 0:
-		return unix.EPOLLIN | unix.EPOLLOUT
+		return unix.EPOLLIN | unix.EPOLLRDHUP | unix.EPOLLOUT
 	default:
-		return unix.EPOLLIN
+		return unix.EPOLLIN | unix.EPOLLRDHUP
 	}
 }
 
@@ -169,6 +169,9 @@
 	default:
 		l.bufInUse = true
 		l.tell(Event{Kind: Data, Conn: s.conn, Data: buf[:n], Passed: passed})
+		if s.ending {
+			l.tell(Event{Kind: more, Conn: s.conn})
+		}
 	}
 }
 
