Refuse at once what a planned end might leave unanswered, and force its crossings by tests

Seen by the test: taken and answered 200 before, 503 now.

Tests on real sockets with the real program, each crossing held: SIGTERM in one batch with a request on a resting, a new and a half read connection, a second SIGTERM, a faulty file at SIGHUP during the stop, clients that never close; a request after the close of a resting connection; an answer with 500 KB unread behind its request; a client that leaves while its upstream connection comes up, and in one batch with its request; idle clients that fill the descriptors while discovery is down; readiness with discovery full, down and mute, seven started together. Those without a fix beside them passed before too and are there to stay.

--- a/cmd/thymebend/crossing_test.go
+++ b/cmd/thymebend/crossing_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -143,3 +145,243 @@
 		})
 	}
 }
+
+// A client writes its request and leaves while the gateway is stopped: it learns both in one batch of news, and sends
+// nothing on, for the client has left long before the dispatch.
+func TestRequestAndLeavingInOneBatch(t *testing.T) {
+	h := newHost(t, "s-1", ok)
+	g := start(t, nil, h)
+	rests := g.dial()
+	if status, _, _ := ask(t, rests, view("before", 900)); status != 200 {
+		t.Fatal(status)
+	}
+	leaves := g.dial()
+	ask(t, leaves, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n") // it is accepted
+	g.signal(syscall.SIGSTOP)
+	if _, err := io.WriteString(leaves, view("left", 1900)+view("behind", 1900)); err != nil {
+		t.Fatal(err)
+	}
+	leaves.Close()
+	if _, err := io.WriteString(rests, view("stays", 1900)); err != nil {
+		t.Fatal(err)
+	}
+	g.signal(syscall.SIGCONT)
+	if status, _, _ := answer(rests); status != 200 {
+		t.Errorf("the client that stays got %d", status)
+	}
+	h.count(func() {
+		for _, id := range h.asked {
+			if id == "left" || id == "behind" {
+				t.Errorf("asked for a client that had left: %v", h.asked)
+			}
+		}
+	})
+}
+
+// SIGTERM in one batch with a request on a resting connection, one on a new connection and a half one: all are answered,
+// their connections end, a second SIGTERM and a SIGHUP with a faulty file change nothing, and clients that never close
+// do not keep the program.
+func TestStopInOneBatchWithRequests(t *testing.T) {
+	h := newHost(t, "s-1", ok)
+	g := start(t, nil, h)
+	resting, idle, half := g.dial(), g.dial(), g.dial()
+	for _, c := range []net.Conn{resting, idle} {
+		if status, _, _ := ask(t, c, view(fmt.Sprint("before", c == idle), 900)); status != 200 {
+			t.Fatal(status)
+		}
+	}
+	ask(t, half, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+	g.signal(syscall.SIGSTOP)
+	fresh := g.dial()
+	for c, raw := range map[net.Conn]string{resting: view("rested", 1900), fresh: view("fresh", 1900), half: view("half", 900)[:40]} {
+		if _, err := io.WriteString(c, raw); err != nil {
+			t.Fatal(err)
+		}
+	}
+	g.signal(syscall.SIGTERM)
+	g.signal(syscall.SIGCONT)
+	for _, c := range []net.Conn{resting, fresh} {
+		if status, _, _ := answer(c); status != 200 {
+			t.Errorf("%d", status)
+		}
+	}
+	g.signal(syscall.SIGTERM)
+	g.reload("seed", "what")
+	until(t, "the faulty file to be logged", func() bool { return strings.Contains(g.log.String(), "seed \\\"what") })
+	if status, fields, _ := ask(t, half, view("half", 900)[40:]); status != 200 || fields.Get("Connection") != "close" {
+		t.Errorf("the half request: %d, Connection %q", status, fields.Get("Connection"))
+	}
+	if code := g.exit(); code != 0 { // with four connections that their clients keep open
+		t.Errorf("exit code %d", code)
+	}
+	if n := strings.Count(g.log.String(), `"message":"stopping"`); n != 1 {
+		t.Errorf("it began to stop %d times", n)
+	}
+}
+
+// A half request that is completed late in a planned end is refused at once where it might not be answered before
+// SIGKILL, and taken where it will.
+func TestLateRequestOfAPlannedEnd(t *testing.T) {
+	h := newHost(t, "s-1", ok)
+	g := start(t, nil, h)
+	long, short := g.dial(), g.dial()
+	for c, raw := range map[net.Conn]string{long: view("long", 3500)[:40], short: view("short", 900)[:40]} {
+		if _, err := io.WriteString(c, raw); err != nil {
+			t.Fatal(err)
+		}
+	}
+	g.signal(syscall.SIGTERM)
+	until(t, "the listener to close", func() bool {
+		c, err := net.Dial("tcp", g.addr)
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	})
+	if status, _, _ := ask(t, long, view("long", 3500)[40:]); status != 503 {
+		t.Errorf("the one that waits past SIGKILL got %d, want a refusal", status)
+	}
+	if status, _, _ := ask(t, short, view("short", 900)[40:]); status != 200 {
+		t.Errorf("the one that does not got %d", status)
+	}
+	if _, asked, _ := h.seen(); asked != 1 {
+		t.Errorf("%d requests were sent on, want one", asked)
+	}
+}
+
+// What comes on a resting connection after the gateway closed it is sent on to nobody, and its client is told by a reset.
+func TestRequestAfterTheCloseOfARestingConnection(t *testing.T) {
+	h := newHost(t, "s-1", ok)
+	g := start(t, nil, h)
+	c := g.dial()
+	if status, _, _ := ask(t, c, view("before", 900)); status != 200 {
+		t.Fatal(status)
+	}
+	g.signal(syscall.SIGTERM)
+	if _, err := io.ReadAll(c); err != nil { // the gateway's end
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(c, lodge("crossed", "x")); err != nil {
+		t.Fatal(err)
+	}
+	if code := g.exit(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+	until(t, "the reset", func() bool {
+		_, err := c.Write([]byte("x"))
+		return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	})
+	if _, asked, _ := h.seen(); asked != 1 {
+		t.Errorf("%d requests were sent on, want the first alone", asked)
+	}
+}
+
+// An answer survives what its client sends behind the request: the connection ends only after the client has it.
+func TestAnswerSurvivesBytesBehindTheRequest(t *testing.T) {
+	release := make(chan bool)
+	h := newHost(t, "s-1", func(c net.Conn, r *http.Request, body string) {
+		<-release
+		ok(c, r, strings.Repeat("y", 60<<10))
+	})
+	g := start(t, nil, h)
+	c := g.dial()
+	raw := strings.Replace(view("v", 1900), "Host: o\r\n", "Host: o\r\nConnection: close\r\n", 1)
+	go func() { _, _ = io.WriteString(c, raw+strings.Repeat("noise", 100<<10)) }() // more than is ever read ahead
+	until(t, "the link to be read no further", func() bool { return strings.Contains(g.log.String(), "read no further") })
+	close(release)
+	if status, _, body := answer(c); status != 200 || len(body) != 60<<10+2 {
+		t.Errorf("%d with %d bytes", status, len(body))
+	}
+}
+
+// A client leaves while its request's upstream connection comes up late: nothing is written on that.
+func TestLeavingWhileTheConnectionComesUp(t *testing.T) {
+	h := &host{name: "s-1", ln: scarce(t)}
+	g := start(t, map[string]any{"settings": settingsWith(`"connect_timeout_ms":250`, `"connect_timeout_ms":5000`)}, h)
+	waiting := fill(t, h.ln)
+	c := g.dial()
+	if _, err := io.WriteString(c, lodge("left", "x")); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the connection, which the full queue keeps from coming up", func() bool { return connecting(t, h.ln.Addr()) })
+	c.Close()
+	until(t, "the client's end to be seen", func() bool { return strings.Contains(g.log.String(), `"end":"client gone"`) })
+	until(t, "the connection to be given up", func() bool { return !connecting(t, h.ln.Addr()) })
+	for range waiting {
+		if _, err := h.ln.Accept(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	go func() { _, _ = io.WriteString(g.dial(), lodge("stays", "x")) }()
+	up, err := h.ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r, err := http.ReadRequest(bufio.NewReader(up)); err != nil || r.Header.Get("X-Trace-Id") != "stays" {
+		t.Errorf("%v %v: the first request to come should be of who stays", r, err)
+	}
+}
+
+// Idle clients fill the descriptors while discovery is down: its calls go on, and new requests get through once it returns.
+func TestIdleCrowdWhileDiscoveryIsDown(t *testing.T) {
+	h := newHost(t, "s-1", ok)
+	var up atomic.Bool
+	d := newDiscovery(t, func(int) string {
+		if up.Load() {
+			return list(2, true, entry(h, "up"))
+		}
+		return ""
+	})
+	d.calls = make(chan string, 1<<12)
+	g := startLoose(t, map[string]any{"limits": map[string]any{"cores": 1, "memory_mb": 32, "sockets": 64}}, list(1, true), d)
+	for range 200 {
+		g.dial()
+	}
+	before := len(d.calls)
+	until(t, "two more calls to discovery beside the crowd", func() bool { return len(d.calls) >= before+2 })
+	up.Store(true)
+	until(t, "the list", func() bool {
+		status, _, _ := ask(t, g.dial(), "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+		return status == 200
+	})
+	for i := range 10 {
+		if status, _, _ := ask(t, g.dial(), view(fmt.Sprint("v", i), 1900)); status != 200 {
+			t.Errorf("view %d: %d", i, status)
+		}
+	}
+}
+
+// A gateway that starts on its last list is ready at once, whatever discovery does; seven of ten that start together are.
+func TestReadyWhateverDiscoveryDoes(t *testing.T) {
+	h := newHost(t, "s-1", ok)
+	old := list(1, true, entry(h, "up"))
+	for name, disc := range map[string]func() net.Listener{
+		"full": func() net.Listener { return fullListener(t) },
+		"down": func() net.Listener { ln := listen(t); ln.Close(); return ln },
+		"mute": func() net.Listener { return listen(t) }, // nobody accepts
+	} {
+		d := &discovery{ln: disc()}
+		var rigs []*rig
+		began := time.Now()
+		for range 7 {
+			rigs = append(rigs, launch(t, nil, old, d))
+		}
+		for i, g := range rigs {
+			until(t, name+": gateway "+fmt.Sprint(i), func() bool {
+				c, err := net.Dial("tcp", g.addr)
+				if err != nil {
+					return false
+				}
+				defer c.Close()
+				status, _, _ := ask(t, c, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+				return status == 200
+			})
+		}
+		if took := time.Since(began); took > 10*time.Second {
+			t.Errorf("%s: ready after %v", name, took)
+		}
+		if status, _, _ := ask(t, rigs[0].dial(), view("v"+name, 900)); status != 200 {
+			t.Errorf("%s: %d", name, status)
+		}
+	}
+}
--- a/cmd/thymebend/helper_test.go
+++ b/cmd/thymebend/helper_test.go
@@ -352,6 +352,28 @@
 	}
 }
 
+func (r *rig) signal(s syscall.Signal) {
+	r.t.Helper()
+	if err := r.cmd.Process.Signal(s); err != nil {
+		r.t.Fatal(err)
+	}
+	if s == syscall.SIGSTOP {
+		until(r.t, "all threads to stand still", func() bool {
+			threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", r.cmd.Process.Pid))
+			if err != nil || len(threads) == 0 {
+				r.t.Fatal("no such process")
+			}
+			for _, path := range threads {
+				raw, _ := os.ReadFile(path) // a thread may have ended meanwhile
+				if len(raw) > 0 && !bytes.HasPrefix(raw[bytes.LastIndexByte(raw, ')')+1:], []byte(" T")) {
+					return false
+				}
+			}
+			return true
+		})
+	}
+}
+
 // exit waits for the program's end and returns its exit code.
 func (r *rig) exit() int {
 	r.t.Helper()
--- a/internal/gateway/fromclients.go
+++ b/internal/gateway/fromclients.go
@@ -199,7 +199,7 @@
 		keep := g.keep(l)
 		g.reply(l, clients.Taken(keep))
 		return
-	case len(g.queries) >= g.cfg.Settings.Gateway.MostOpen || g.crowded():
+	case len(g.queries) >= g.cfg.Settings.Gateway.MostOpen || g.crowded() || g.tooLate(asked.Query.Patience):
 		g.settle(asked.Query.Class.Name, throttled)
 		l.Upload = asked.Large
 		keep := g.keep(l)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -137,8 +137,9 @@
 
 	paused   bool // the listener is muted
 	stopping bool
-	closed   bool // nothing new is taken but what waits at the listener
-	drained  bool // the listener is closed
+	killAt   time.Duration // with stopping: what is not answered by then may be lost
+	closed   bool          // nothing new is taken but what waits at the listener
+	drained  bool          // the listener is closed
 }
 
 // New returns a gateway. Nothing happens before the first event.
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -11,6 +11,16 @@
 // What comes later than 0.7 s would have to be answered before a SIGKILL that may come too soon.
 const acceptAfterStop = 550 * time.Millisecond
 
+// What the platform promises of a planned end: SIGKILL comes no sooner after SIGTERM than the longest deadline, taken
+// as leastGrace where it is shorter, and killAfter more.
+const (
+	leastGrace = 3 * time.Second
+	killAfter  = 700 * time.Millisecond
+)
+
+// killMargin is what a final answer and its way to the client take, on a busy processor.
+const killMargin = 100 * time.Millisecond
+
 // drainWithin is how long after that what waits at the listener may take to be accepted, where links are short.
 const drainWithin = 700 * time.Millisecond
 
@@ -22,6 +32,11 @@
 	}
 	g.log.Info().Int("queries", len(g.queries)).Msg("stopping")
 	g.stopping = true
+	grace := leastGrace
+	for _, c := range g.cfg.Settings.Config.Classes {
+		grace = max(grace, c.Deadline)
+	}
+	g.killAt = g.now + grace + killAfter - killMargin
 	g.quitFleet(true)
 	if g.heirTakes {
 		// The next process takes clients, and the links after their answers: there is no one to wait for.
@@ -36,6 +51,12 @@
 	g.setTimer(timerStop, 0, g.now+acceptAfterStop)
 }
 
+// tooLate reports whether a request that comes during a planned end might still be in work at SIGKILL, which would lose
+// it: a half request that is completed late, or one with a longer deadline than its class. It is refused at once.
+func (g *Gateway) tooLate(patience time.Duration) bool {
+	return g.stopping && !g.heirTakes && g.now+patience > g.killAt
+}
+
 // closeListener takes what still waits at the listener, then closes it and the idle client links.
 func (g *Gateway) closeListener() {
 	g.closed = true
