Save nothing up for a cold server before it is used, nor after it was left

Cause: coldTokens grew from coldAt, the moment at which a server was listed, whether or not the gateway used it (coldRoom); the random first moment that listed() drew was long past by then.

Change: a server that enters this gateway's even part begins with a first moment drawn then, and keeps what it had overspent.

Checks: the hash of what the module does without a fleet changes, as every server that is used draws a first moment then; it was the recorded one up to this change.

--- a/balancer.go
+++ b/balancer.go
@@ -166,15 +166,15 @@
 // server is one start of one server.
 type server struct {
 	Server
-	listed   bool
-	sharers  float64 // gateways that use it
-	member   bool    // one of those that this gateway uses
-	crowd    float64 // by how much more of these use it than the mean
-	even     bool    // and of its even part, which sharers counts
-	reached  bool    // or taken because this gateway is short of room
-	inflight int
-	out      []RequestID // whose attempts are in flight
-	kinds    []kind      // by class
+	listed    bool
+	sharers   float64 // gateways that use it
+	member    bool    // one of those that this gateway uses
+	crowd     float64 // by how much more of these use it than the mean
+	even, was bool    // and of its even part, which sharers counts: now, and before the last choice
+	reached   bool    // or taken because this gateway is short of room
+	inflight  int
+	out       []RequestID // whose attempts are in flight
+	kinds     []kind      // by class
 
 	u                 float64 // the limit before rounding up
 	gain              float64 // K, ms of service for each request in flight; 0 is unknown
@@ -761,9 +761,8 @@
 
 // coldRoom reports whether a cold server may get one more request: what is sent stays under this gateway's
 // part of what would push it over. What warm servers answer tells the part; answers are counted, not their
-// times, which are longer where servers are crowded. Each gateway begins at another moment of the interval
-// between two requests, or hundreds of first requests would push the server over. Gateways that use it beyond
-// their even part send it nothing: parts are worked out without them.
+// times, which are longer where servers are crowded. Gateways that use it beyond their even part send it
+// nothing: parts are worked out without them.
 func (b *Balancer) coldRoom(s *server) bool {
 	cold := b.coldness(s)
 	if cold == 1 || b.yielded {
@@ -1179,7 +1178,7 @@
 	zones := subset.Count(b.cfg.Zone, b.zones)
 	subset.Rule{Own: ownSharers, Far: farSharers, Least: leastMembers}.Parts(b.cfg.Gateways, zones)
 	for _, s := range b.servers {
-		s.member, s.even, s.reached, s.weight = false, false, false, 0
+		s.was, s.member, s.even, s.reached, s.weight = s.even, false, false, false, 0
 		s.sharers = subset.Sharers(b.cfg.Gateways, s.Zone, zones)
 	}
 	if len(b.given) > 0 {
@@ -1192,6 +1191,9 @@
 		if s.u == 0 {
 			s.u = s.startLimit()
 		}
+		if s.even && !s.was { // first turns come spread over an interval, and none is saved up from before
+			s.coldTokens, s.coldAt = min(s.coldTokens, -b.rng.Float64()), b.now
+		}
 	}
 	for _, s := range old {
 		if !s.member && s.inflight == 0 {
@@ -1268,7 +1270,6 @@
 		return
 	}
 	s = &server{Server: e, listed: true, coldAt: b.now, kinds: make([]kind, len(b.classes))}
-	s.coldTokens = -b.rng.Float64()
 	b.byID[e.ID] = s
 	b.servers = append(b.servers, s)
 }
@@ -1279,8 +1280,8 @@
 	b.out.Watch()
 }
 
-// watchFailed asks again, never in step with other gateways. Calls that fail begin further apart each time, up
-// to a bound; one that follows a watch, or a call that went long unanswered, comes at once.
+// watchFailed asks again, never in step with other gateways. Calls that fail begin further apart each time,
+// up to a bound. One that follows a watch, or a call that went long unanswered, comes at once.
 func (b *Balancer) watchFailed() {
 	stood := b.watching
 	b.asking, b.watching = false, false
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -658,6 +658,40 @@
 	}
 }
 
+// Many gateways come to use a cold server at one moment, as others leave, a while after they were told of it. Their first
+// requests must be spread over an interval of their turns: none may have saved one up while it did not use the server.
+func TestNothingIsSavedUpForAColdServer(t *testing.T) {
+	cfg := testConfig()
+	cfg.Gateways = 40
+	at := func(state State, born time.Duration) []Server { return []Server{{ID: 1, State: state, Born: born}} }
+	soon, later := 0, 0
+	for seed := range uint64(100) {
+		r := newRig(t, cfg)
+		r.b.rng = rand.New(rand.NewPCG(seed, 1))
+		born := r.now
+		r.b.List(r.now, ListDelta, at(Ready, born))
+		r.b.Dispatch(r.now)
+		r.b.List(r.now, ListDelta, at(Draining, born))
+		r.wait(4 * time.Second)
+		r.b.List(r.now, ListDelta, at(Ready, born))
+		for step := range 100 {
+			r.rec.acts = nil
+			r.request(RequestID(step+1), 0)
+			r.wait(50 * millisecond)
+			if len(r.take("send")) > 0 {
+				if step < 10 {
+					soon++
+				}
+				later++
+				break
+			}
+		}
+	}
+	if soon > 30 || later < 60 {
+		t.Errorf("of 100 gateways %d send within half a second and %d within five", soon, later)
+	}
+}
+
 // A keyed request of group all may be refused even if it may have run; of a smaller group it may not.
 func TestRefusalsOfKeyedRequests(t *testing.T) {
 	for _, c := range []struct {
@@ -1352,7 +1386,6 @@
 	before, refused := slices.Clone(r.b.members), 0
 	var out []act
 	for id := RequestID(1000); id < 1800; id++ { // 100 a second; each answer takes 100 ms
-		r.rec.acts = nil
 		r.request(id, 0)
 		r.wait(10 * millisecond)
 		for _, a := range r.rec.acts {
@@ -1387,8 +1420,10 @@
 	if r.b.reach.Size > reach/2 {
 		t.Errorf("reach is %.1f half a second after a full server, %.1f before", r.b.reach.Size, reach)
 	}
-	for _, a := range append(out, r.take("send")...) {
-		r.end(a.id, 0, a.server, OK, 100*millisecond)
+	for sent := append(out, r.take("send")...); len(sent) > 0; sent = r.take("send") { // one left open is a server's silence
+		for _, a := range sent { // the one that was turned away is in its second attempt
+			r.end(a.id, len(r.b.requests[a.id].attempts)-1, a.server, OK, 100*millisecond)
+		}
 	}
 	r.take("close")
 	r.wait(2 * time.Minute)
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -199,7 +199,7 @@
 
 // withoutFleet is the hash of what the module did before it could be told of a fleet, in the play below. A change of what it
 // does without one is another number here, and has to say why.
-const withoutFleet = 0xa08d0f83ecc60ba2
+const withoutFleet = 0xcb74930173923571
 
 // Without a fleet's word the module acts as it did before there was one, to the letter.
 func TestWithoutAFleetNothingIsDifferent(t *testing.T) {
