--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -383,6 +383,47 @@
 	}
 }
 
+// Seeds of sixty gateways at which a cold host was sent more than it survives by first requests that many gateways had
+// saved up before they came to use it.
+func TestFleetSeedsThatPushedAColdHostHold(t *testing.T) {
+	for _, seed := range []uint64{27, 40, 73, 103, 129, 229, 284} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			p, err := DrawSized(seed, fleetProfile, Size{Gateways: 60, Hosts: 40})
+			if err != nil {
+				t.Fatal(err)
+			}
+			holds(t, p)
+		})
+	}
+}
+
+// Known to fail: a host is opened more links than it takes while half of the hosts are down.
+func TestFleetSeedThatCrowdsAHost(t *testing.T) {
+	p, err := DrawSized(258, fleetProfile, Size{Gateways: 60, Hosts: 40})
+	if err != nil {
+		t.Fatal(err)
+	}
+	holds(t, p)
+}
+
+// Known to fail: three gateways over two hundred hosts, each with all its descriptors in use, are upgraded.
+func TestUpgradesWithManyHostsHold(t *testing.T) {
+	for _, c := range []struct {
+		seed    uint64
+		profile string
+	}{{7, "upgrade"}, {8, "upgrade"}, {2, viewsProfile}, {9, viewsProfile}} {
+		t.Run(fmt.Sprint(c.profile, c.seed), func(t *testing.T) {
+			t.Parallel()
+			p, err := DrawSized(c.seed, c.profile, Size{Gateways: 3, Hosts: 200})
+			if err != nil {
+				t.Fatal(err)
+			}
+			holds(t, p)
+		})
+	}
+}
+
 // pushedDay is a day of pushed lists with stated faults and a request every 80 ms.
 func pushedDay(hosts, ms int, faults ...Fault) Plan {
 	p := Plan{Seed: 1, Profile: "pushed", Pushed: true, Gateways: 2, Hosts: hosts, Sockets: 400, LagMS: 300, LatencyUS: 200, CostUS: 10, Faults: faults}
