Give a request as long to come whole as the settings' longest deadline

Cause: 2.5 s, which is the longest deadline of one deployment, bounded how long any client may take to send its request (clients.RequestWithin); where a class may wait for 12 s, its slow client was turned away with 408 after 2.5 s, and a new link that had sent nothing was closed. Change: the longest deadline of the settings, 2.5 s at least, taken anew at a reload.

Test: TestTimeToAskGoesByTheDeadlines, a request in two parts four seconds apart; the tests that bound slow clients stand unchanged.

--- a/cmd/thymebend/crossing_test.go
+++ b/cmd/thymebend/crossing_test.go
@@ -385,3 +385,22 @@
 		}
 	}
 }
+
+// The time for a request to come whole goes by the settings' longest deadline: a client that may wait for twelve seconds
+// is not turned away after two and a half, which one deployment's classes would justify.
+func TestTimeToAskGoesByTheDeadlines(t *testing.T) {
+	h := newHost(t, "s-1", ok)
+	g := start(t, map[string]any{"settings": settingsWith(`"give_up_ms":2500`, `"give_up_ms":12000`)}, h)
+	c, other := g.dial(), g.dial()
+	began := time.Now()
+	if _, err := io.WriteString(c, view("slow", 900)[:40]); err != nil {
+		t.Fatal(err)
+	}
+	_ = other.SetReadDeadline(began.Add(4 * time.Second)) // an idle link that sends nothing is not turned away either
+	if _, err := other.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a new link was ended after %v: %v", time.Since(began), err)
+	}
+	if status, _, _ := ask(t, c, view("slow", 900)[40:]); status != 200 {
+		t.Errorf("%d after %v", status, time.Since(began))
+	}
+}
--- a/internal/clients/link.go
+++ b/internal/clients/link.go
@@ -19,8 +19,8 @@
 	MostPipelined = http1.MaxHead + http1.MaxHeld
 	// IdleAfter closes a link on which nothing was asked for this long.
 	IdleAfter = 90 * time.Second
-	// RequestWithin is how long a request may take to come whole: the first one from the accept on, a later one from
-	// its first byte on. It grows only with what has come, by LeastRate: what trickles in does not renew it.
+	// RequestWithin is the least that a request has to come whole, see Links.Within: the first one from the accept on, a
+	// later one from its first byte on. It grows only with what has come, by LeastRate: what trickles in does not renew it.
 	RequestWithin = 2500 * time.Millisecond
 	// LeastRate is the least that a client sends of a request's body, in bytes a second.
 	LeastRate = 32 << 10
@@ -62,6 +62,7 @@
 	Began   time.Duration // of the request that is coming
 	Came    int           // bytes of it
 	heard   time.Duration // last byte
+	within  time.Duration // that a request has to come whole
 	queue   *queue        // that it stands in
 	before  *Link
 	after   *Link
@@ -148,7 +149,7 @@
 
 // Until is the time by which the request that is coming must be whole, for what has come of it.
 func (l *Link) Until() time.Duration {
-	return l.Began + RequestWithin + time.Duration(l.Came)*time.Second/LeastRate
+	return l.Began + l.within + time.Duration(l.Came)*time.Second/LeastRate
 }
 
 // Pending reports whether a part of a request has come.
--- a/internal/clients/links.go
+++ b/internal/clients/links.go
@@ -15,6 +15,8 @@
 	ByConn map[loop.Conn]*Link
 	Most   int
 	Many   int // past it links that are not used again are closed, see Spent
+	// Within is what a request has to come whole: a client that may wait longer for its answer may take longer to ask.
+	Within time.Duration
 	// Nothing has come yet, by their accept; a first request is half read, by its last byte; at rest after one query,
 	// and after several; a later request is half read; at rest after looks at the health alone: the first query is to
 	// come; our sending has ended, after the last answer.
@@ -22,7 +24,9 @@
 }
 
 // NewLinks returns room for so many links.
-func NewLinks(most int) *Links { return &Links{ByConn: make(map[loop.Conn]*Link), Most: most} }
+func NewLinks(most int) *Links {
+	return &Links{ByConn: make(map[loop.Conn]*Link), Most: most, Within: RequestWithin}
+}
 
 // InOrder returns the links, oldest first. Maps are walked in no order; the same events must have the same effects.
 func (s *Links) InOrder() []*Link {
@@ -31,7 +35,7 @@
 
 // Add takes a new client link.
 func (s *Links) Add(c loop.Conn, now time.Duration) *Link {
-	l := &Link{Conn: c, Since: now, Began: now, heard: now}
+	l := &Link{Conn: c, Since: now, Began: now, heard: now, within: s.Within}
 	s.ByConn[c] = l
 	s.Place(l)
 	return l
--- a/internal/gateway/fromclients.go
+++ b/internal/gateway/fromclients.go
@@ -97,7 +97,7 @@
 			g.lookAndClose(l)
 		}
 	}
-	patience := clients.RequestWithin
+	patience := g.links.Within
 	if g.closed {
 		patience = clients.LingerFor // its request is on the way, or never comes
 	}
@@ -171,7 +171,7 @@
 	}
 	if l.Asked && !l.Timed {
 		l.Timed, l.Began = true, g.now
-		g.setTimer(timerClient, uint64(l.Conn), g.now+clients.RequestWithin)
+		g.setTimer(timerClient, uint64(l.Conn), g.now+g.links.Within)
 	}
 	if l.AwaitsContinue() {
 		g.write(l.Conn, clients.Continue())
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -59,9 +59,18 @@
 	// Sites keep the numbers that they have: hosts and the module know them by these.
 	fresh.Gateway.Zones = g.cfg.Settings.Gateway.Zones
 	g.cfg.Settings, g.places = fresh, places
+	g.links.Within = max(clients.RequestWithin, g.longest())
 	g.countClasses()
 }
 
+// longest is the longest deadline of the classes.
+func (g *Gateway) longest() (longest time.Duration) {
+	for _, c := range g.cfg.Settings.Config.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	return longest
+}
+
 // classOf finds the class that a request names, as its method words it. Just after a class has changed its effect,
 // requests worded for the old one still come; the stricter of the two effects holds for them.
 func (g *Gateway) classOf(name, method string) (clients.Class, bool) {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -32,11 +32,7 @@
 	}
 	g.log.Info().Int("queries", len(g.queries)).Msg("stopping")
 	g.stopping = true
-	grace := leastGrace
-	for _, c := range g.cfg.Settings.Config.Classes {
-		grace = max(grace, c.Deadline)
-	}
-	g.killAt = g.now + grace + killAfter - killMargin
+	g.killAt = g.now + max(leastGrace, g.longest()) + killAfter - killMargin
 	g.quitFleet(true)
 	if g.heirTakes {
 		// The next process takes clients, and the links after their answers: there is no one to wait for.
