Read lists that are indented over several lines, and find torn objects by the next beat

Change: an object ends where its brackets do; a blank line, which is a beat, within an object or a line end within a text tells that it was torn, so that a torn object is found out within one beat and the list asked for anew.

Tests: an indented list cut at every byte (fails before: each line is taken by itself), an object torn at every byte.

--- a/internal/hostgroup/pieces_test.go
+++ b/internal/hostgroup/pieces_test.go
@@ -8,7 +8,8 @@
 
 // A watch's lines come whole wherever the network cuts them.
 func TestWatchLinesInPieces(t *testing.T) {
-	lines := []string{`{"seq":1,"whole":false,"hosts":[]}`, `{"seq":2,"whole":false,"hosts":[{"host":"a","health":"removed"}]}`, ``, `{"seq":3,"whole":false,"hosts":[]}`}
+	lines := []string{`{"seq":1,"whole":false,"hosts":[]}`, `{"seq":2,"whole":false,"hosts":[{"host":"a","health":"removed"}]}`, ``,
+		"{\n  \"seq\": 3,\n  \"whole\": true,\n\t\"hosts\": [\n    {\"host\": \"a}\\\"{\", \"health\": \"removed\"}\n  ]\n}", ``, `{"seq":4,"whole":false,"hosts":[]}`}
 	stream := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 	for _, l := range lines {
 		stream += fmt.Sprintf("%x\r\n%s\n\r\n", len(l)+1, l)
@@ -36,3 +37,21 @@
 		}
 	}
 }
+
+// An object that was torn is found out by the next beat, however it was torn: what follows must not be waited for.
+func TestTornObjectIsFoundOutByTheNextBeat(t *testing.T) {
+	const whole = `{"seq":1,"whole":false,"hosts":[{"host":"a","health":"removed"}]}`
+	for at := 1; at < len(whole); at++ {
+		w := NewWatch(1, netip.AddrPort{})
+		feed := func(line string) error {
+			_, _, err := w.Feed([]byte(fmt.Sprintf("%x\r\n%s\n\r\n", len(line)+1, line)))
+			return err
+		}
+		if _, _, err := w.Feed([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")); err != nil {
+			t.Fatal(err)
+		}
+		if feed(whole[:at]) == nil && feed("") == nil && feed("") == nil {
+			t.Errorf("torn after %q: two beats were taken", whole[:at])
+		}
+	}
+}
--- a/internal/hostgroup/watch.go
+++ b/internal/hostgroup/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"net/netip"
 	"strconv"
@@ -30,13 +31,18 @@
 	Addr    netip.AddrPort
 	reader  http1.Reader
 	pending []byte
+	scanned int  // of these bytes
+	depth   int  // of the object that they belong to; 0 between two
+	quoted  bool // they are in one of its texts
+	escaped bool
+	blank   bool // nothing has come on the line under way
 	up      bool // its connection has come up
 	started bool // its first line has come
 }
 
 // NewWatch prepares a watch of discovery at an address, on a connection.
 func NewWatch(conn loop.Conn, at netip.AddrPort) *Watch {
-	return &Watch{Conn: conn, Addr: at, reader: http1.Reader{Response: true, Stream: true}}
+	return &Watch{Conn: conn, Addr: at, blank: true, reader: http1.Reader{Response: true, Stream: true}}
 }
 
 // Request is the call for what changed since the list that the group has, once the watch's connection is up.
@@ -46,7 +52,8 @@
 		[]http1.Field{{Name: "Host", Value: w.Addr.String()}}, nil)
 }
 
-// Feed takes what discovery wrote and returns the whole lines. An empty line is a beat. ended tells that the
+// Feed takes what discovery wrote and returns the whole objects, each of one line or, where it is indented, of several. An
+// empty line is a beat; within an object it tells that the object was torn. ended tells that the
 // answer is over, which a watch's never is while all is well.
 func (w *Watch) Feed(data []byte) (lines [][]byte, ended bool, err error) {
 	w.reader.Feed(data)
@@ -58,21 +65,50 @@
 		return nil, false, fmt.Errorf("discovery answered %d", head.Status)
 	}
 	w.pending = append(w.pending, piece...)
-	for {
-		line, rest, ok := bytes.Cut(w.pending, []byte("\n"))
-		if !ok {
-			break
+	for w.scanned < len(w.pending) {
+		end, err := w.scan(w.pending[w.scanned])
+		if err != nil {
+			return nil, false, err
+		}
+		w.scanned++
+		if end {
+			lines = append(lines, bytes.TrimSpace(w.pending[:w.scanned]))
+			w.pending, w.scanned = w.pending[w.scanned:], 0
 		}
-		lines = append(lines, bytes.TrimSpace(line))
-		w.pending = rest
 	}
 	if len(w.pending) > mostPending {
-		return nil, false, fmt.Errorf("discovery wrote a line of over %d bytes", mostPending)
+		return nil, false, fmt.Errorf("discovery wrote an object of over %d bytes", mostPending)
 	}
 	w.started = w.started || len(lines) > 0
 	return lines, done, nil
 }
 
+// scan looks at the next byte and reports whether it ends a beat or an object.
+func (w *Watch) scan(b byte) (end bool, err error) {
+	switch {
+	case b == '\n' && w.quoted:
+		return false, errors.New("discovery wrote a text that does not end on its line")
+	case b == '\n' && w.depth > 0 && w.blank:
+		return false, errors.New("discovery wrote an object that does not end")
+	case b == '\n':
+		w.blank = true
+		return w.depth == 0, nil
+	case w.escaped:
+		w.escaped = false
+	case w.quoted && b == '\\':
+		w.escaped = true
+	case b == '"':
+		w.quoted = !w.quoted
+	case w.quoted:
+	case b == '{' || b == '[':
+		w.depth++
+	case b == '}' || b == ']':
+		w.depth = max(0, w.depth-1) // one too many is found out where the object is applied
+	}
+	w.blank = w.blank && (b == ' ' || b == '\t' || b == '\r')
+	return false, nil
+}
+
 // Started reports whether discovery has begun to answer.
 func (w *Watch) Started() bool { return w.started }
 
