Force the ends of answers and second answers on resting connections by tests

Need: crossings of attempts, each with its order held by the host: answers without a length that end, are reset in the middle or long after, that drip and never end, that send half a line; a second answer on a connection that rests.

--- a/cmd/thymebend/crossing_test.go
+++ b/cmd/thymebend/crossing_test.go
@@ -404,3 +404,86 @@
 		t.Errorf("%d after %v", status, time.Since(began))
 	}
 }
+
+// Answers without a length: the end of the connection is their end, a reset is none, however late it comes. Answers that
+// drip and never end are given up in the client's time. Nothing of these is sent again where it may have run.
+func TestAnswersThatEndOtherwise(t *testing.T) {
+	const open = "HTTP/1.1 200 OK\r\n\r\n"
+	reset := func(c net.Conn) {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+	for name, c := range map[string]struct {
+		host func(c net.Conn, seen <-chan bool)
+		want int
+		body string
+	}{
+		"ends by the end":         {func(c net.Conn, _ <-chan bool) { fmt.Fprint(c, open+"whole"); c.Close() }, 200, "whole"},
+		"reset in the middle":     {func(c net.Conn, _ <-chan bool) { fmt.Fprint(c, open+"half"); reset(c) }, 502, ""},
+		"reset long after":        {func(c net.Conn, seen <-chan bool) { fmt.Fprint(c, open+"half"); <-seen; reset(c) }, 502, ""},
+		"reset without an answer": {func(c net.Conn, seen <-chan bool) { <-seen; reset(c) }, 502, ""},
+		"reset after a short one": {func(c net.Conn, _ <-chan bool) {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+			reset(c)
+		}, 502, ""},
+		"drips and never ends": {drip, 502, ""},
+		"hints and never answers": {func(c net.Conn, _ <-chan bool) {
+			fmt.Fprint(c, "HTTP/1.1 102 Processing\r\n\r\n")
+			_, _ = io.Copy(io.Discard, c)
+		}, 502, ""},
+		"half a line, then a reset": {func(c net.Conn, seen <-chan bool) { fmt.Fprint(c, "HTTP/1.1 200 O"); <-seen; reset(c) }, 502, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			asked, seen := make(chan bool, 8), make(chan bool)
+			h := newHost(t, "s-1", func(conn net.Conn, _ *http.Request, _ string) { asked <- true; c.host(conn, seen) })
+			g := start(t, nil, h)
+			client := g.dial()
+			if _, err := io.WriteString(client, strings.Replace(lodge("bid", "x"), "2500m", "1500m", 1)); err != nil {
+				t.Fatal(err)
+			}
+			<-asked // the host has it whole
+			close(seen)
+			status, _, body := answer(client)
+			if status != c.want || c.want == 200 && body != c.body {
+				t.Errorf("%d %q, want %d %q", status, body, c.want, c.body)
+			}
+			if _, n, _ := h.seen(); n != 1 {
+				t.Errorf("sent %d times", n)
+			}
+		})
+	}
+}
+
+// drip answers in small chunks until nobody takes them.
+func drip(c net.Conn, _ <-chan bool) {
+	_, err := fmt.Fprint(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for tick := time.NewTicker(20 * time.Millisecond); err == nil; <-tick.C {
+		_, err = fmt.Fprint(c, "1\r\nx\r\n")
+	}
+}
+
+// A second answer comes on a connection that rests: it belongs to nobody, and the connection is used no more.
+func TestSecondAnswerOnARestingConnection(t *testing.T) {
+	second := make(chan bool)
+	h := newHost(t, "s-1", func(c net.Conn, r *http.Request, body string) {
+		ok(c, r, body)
+		if r.Header.Get("X-Trace-Id") == "first" {
+			<-second
+			ok(c, r, "not asked for")
+		}
+	})
+	g := start(t, nil, h)
+	c := g.dial()
+	if status, _, body := ask(t, c, lodge("first", "x")); status != 200 || body != "first:x" {
+		t.Fatal(status, body)
+	}
+	close(second)
+	until(t, "the gateway to end that connection", func() bool { _, _, ends := h.seen(); return ends == 1 })
+	if status, _, body := ask(t, c, lodge("next", "y")); status != 200 || body != "next:y" {
+		t.Errorf("%d %q", status, body)
+	}
+	if conns, _, _ := h.seen(); conns != 2 {
+		t.Errorf("%d connections", conns)
+	}
+}
