--- a/cmd/thymebend/crossing_test.go
+++ b/cmd/thymebend/crossing_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -487,3 +488,44 @@
 		t.Errorf("%d connections", conns)
 	}
 }
+
+// Clients in numbers send much at once and go, or send what is no request: others are served meanwhile, each that stays
+// gets an error answer or its connection's end, and nothing of it reaches a host.
+func TestFloodsLeaveOthersServed(t *testing.T) {
+	h := newHost(t, "s-1", ok)
+	g := start(t, nil, h)
+	noise := strings.Repeat("noise and no request\r\n", 15<<10)
+	var floods sync.WaitGroup
+	for i := range 100 {
+		floods.Go(func() {
+			c, err := net.Dial("tcp", g.addr)
+			if err != nil {
+				return // the queue of those that wait is full, which is the flood's own affair
+			}
+			defer c.Close()
+			_ = c.SetDeadline(time.Now().Add(patience))
+			if i%2 == 0 {
+				_, _ = io.WriteString(c, view(fmt.Sprint("bad", i), 900)[:30]+noise) // and goes
+				return
+			}
+			_, _ = io.WriteString(c, noise[:100])
+			if r, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil && r.StatusCode < 400 {
+				t.Errorf("noise was answered %d", r.StatusCode)
+			}
+		})
+	}
+	c := g.dial()
+	for i := range 50 {
+		if status, _, _ := ask(t, c, view(fmt.Sprint("good", i), 1900)); status != 200 {
+			t.Errorf("view %d beside the flood: %d", i, status)
+		}
+	}
+	floods.Wait()
+	h.count(func() {
+		for _, id := range h.asked {
+			if !strings.HasPrefix(id, "good") {
+				t.Errorf("a host was asked for %q", id)
+			}
+		}
+	})
+}
