--- a/cmd/thymebend/crossing_test.go
+++ b/cmd/thymebend/crossing_test.go
@@ -25,43 +25,6 @@
 		`"repeat":"once"`, fmt.Sprintf(`"repeat":"by_key","group":"cell","window_ms":%d`, windowMS), 1))
 }
 
-// scarce is a listener whose queue holds one connection more than its backlog of 0.
-func scarce(t *testing.T) net.Listener {
-	t.Helper()
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err = syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err == nil {
-		err = syscall.Listen(fd, 0)
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
-	f := os.NewFile(uintptr(fd), "scarce")
-	ln, err := net.FileListener(f)
-	if err != nil {
-		t.Fatal(err)
-	}
-	f.Close()
-	t.Cleanup(func() { ln.Close() })
-	return ln
-}
-
-// fill has connections wait at a listener until no more come up, and returns those that did.
-func fill(t *testing.T, ln net.Listener) (waiting int) {
-	t.Helper()
-	until(t, "the queue to fill", func() bool {
-		c, err := net.DialTimeout("tcp", ln.Addr().String(), 100*time.Millisecond)
-		if err == nil {
-			waiting++
-			t.Cleanup(func() { c.Close() })
-		}
-		return err != nil
-	})
-	return waiting
-}
-
 // connecting reports whether some socket of this machine waits for a connection to an address to come up.
 func connecting(t *testing.T, addr net.Addr) bool {
 	t.Helper()
@@ -529,3 +492,39 @@
 		}
 	})
 }
+
+// A client leaves between two attempts, while its request waits for room: no second one begins when there is some.
+func TestLeavingBetweenTwoAttempts(t *testing.T) {
+	asked, turn := make(chan string, 8), make(chan bool)
+	h := newHost(t, "s-1", func(c net.Conn, r *http.Request, body string) {
+		if asked <- r.Header.Get("X-Trace-Id"); r.Header.Get("X-Trace-Id") == "left" {
+			<-turn
+			say(c, "503 Full", "X-Never-Ran: 1\r\n", "")
+			return
+		}
+		ok(c, r, body)
+	})
+	g := start(t, map[string]any{"settings": json.RawMessage(strings.NewReplacer(`"aim_ms":800`, `"aim_ms":20000`, `"give_up_ms":2000`,
+		`"give_up_ms":25000`, `"give_up_ms":2500`, `"give_up_ms":25000`).Replace(testSettings))}, h)
+	<-g.disc.calls
+	c := g.dial()
+	if _, err := io.WriteString(c, view("left", 25000)); err != nil {
+		t.Fatal(err)
+	}
+	if id := <-asked; id != "left" {
+		t.Fatal(id)
+	}
+	g.disc.tell <- list(2, false, entry(h, "draining"))
+	g.disc.tell <- list(3, false) // taken once the one before has been
+	close(turn)
+	until(t, "the turning away, after which nobody is left to ask", func() bool { return strings.Contains(g.log.String(), `"end":"turned away"`) })
+	c.Close()
+	until(t, "the client's end to be seen", func() bool { return strings.Contains(g.log.String(), `"end":"client gone"`) })
+	g.disc.tell <- list(4, false, entry(h, "up"))
+	if status, _, _ := ask(t, g.dial(), view("stays", 25000)); status != 200 {
+		t.Errorf("a client that stays got %d", status)
+	}
+	if id := <-asked; id != "stays" {
+		t.Errorf("asked for %q after its client had left", id)
+	}
+}
--- a/cmd/thymebend/helper_test.go
+++ b/cmd/thymebend/helper_test.go
@@ -456,6 +456,14 @@
 
 // fullListener is a listener on which connections never come up: nobody accepts and its queue is full.
 func fullListener(t *testing.T) net.Listener {
+	t.Helper()
+	ln := scarce(t)
+	fill(t, ln)
+	return ln
+}
+
+// scarce is a listener whose queue holds one connection more than its backlog of 0.
+func scarce(t *testing.T) net.Listener {
 	t.Helper()
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
 	if err != nil {
@@ -467,21 +475,28 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := os.NewFile(uintptr(fd), "full")
+	f := os.NewFile(uintptr(fd), "scarce")
 	ln, err := net.FileListener(f)
 	if err != nil {
 		t.Fatal(err)
 	}
 	f.Close()
 	t.Cleanup(func() { ln.Close() })
+	return ln
+}
+
+// fill has connections wait at a listener until no more come up, and returns those that did.
+func fill(t *testing.T, ln net.Listener) (waiting int) {
+	t.Helper()
 	until(t, "the queue to fill", func() bool {
-		c, err := net.DialTimeout("tcp", ln.Addr().String(), 50*time.Millisecond)
+		c, err := net.DialTimeout("tcp", ln.Addr().String(), 100*time.Millisecond)
 		if err == nil {
+			waiting++
 			t.Cleanup(func() { c.Close() })
 		}
 		return err != nil
 	})
-	return ln
+	return waiting
 }
 
 // processorTime is what a process has used so far.
