--- a/api.go
+++ b/api.go
@@ -174,14 +174,6 @@
 	ListFull
 )
 
-// How soon a gateway that asks for the list asks again. What discovery has to tell counts as told 6 s after it could be
-// reached, so failed calls begin at most AskApart apart; the call after a watch that broke is put off by AskSpread at
-// most, lest all gateways whose watches broke together call together, and that after an unanswered one by half of it.
-const (
-	AskApart  = 1500 * time.Millisecond
-	AskSpread = 400 * time.Millisecond
-)
-
 // Actions is implemented by the gateway and carries out what the module decides.
 type Actions interface {
 	// Send starts an attempt. A timeout of 0 lasts until the client gives up.
--- a/balancer.go
+++ b/balancer.go
@@ -25,6 +25,14 @@
 // The sampling period of all loops, as in the paper.
 const period = 250 * time.Millisecond
 
+// How soon the list is asked for again. What discovery has counts as told 6 s after it can be reached. Calls
+// that fail begin askApart apart at most. One after a watch that broke is put off by askSpread at most, lest
+// all gateways whose watches broke together call together, and one after an unanswered call by half of it.
+const (
+	askApart  = 1500 * time.Millisecond
+	askSpread = 400 * time.Millisecond
+)
+
 // The design's own constants.
 const (
 	gamma        = 0.9  // share of the response aim meant for waiting
@@ -598,14 +606,6 @@
 	return max(part*b.response, min(crowding*s.base, s.base+crowdRoom*part))
 }
 
-// weight is a class's service time over the average class's, so that times of all classes can be averaged.
-func (b *Balancer) weight(c *classState) float64 {
-	if c.service.n < baseSamples || b.mean == 0 {
-		return 1
-	}
-	return c.service.mean / b.mean
-}
-
 // sampleWait integrates psi toward the wait setpoint, clamped between zero and twice the setpoint.
 func (b *Balancer) sampleWait() {
 	if b.waits.n == 0 {
@@ -1288,10 +1288,10 @@
 	if !b.cfg.AskForList {
 		return
 	}
-	apart := min(scale(b.meanAim(), float64(int(1)<<min(b.askFails, maxBackoff))), AskApart)
+	apart := min(scale(b.meanAim(), float64(int(1)<<min(b.askFails, maxBackoff))), askApart)
 	next := b.askedAt + scale(apart, 0.5+b.rng.Float64()/2)
 	b.askFails++
-	b.out.Wake(max(next-b.now, scale(AskSpread, b.rng.Float64()/float64(2-index(stood)))), tokenWatch)
+	b.out.Wake(max(next-b.now, scale(askSpread, b.rng.Float64()/float64(2-index(stood)))), tokenWatch)
 }
 
 // checkWatch asks again if a call was never answered.
--- a/helpers.go
+++ b/helpers.go
@@ -147,3 +147,11 @@
 		return a.Zone == s.Zone && a.Cell == s.Cell
 	}
 }
+
+// weight is a class's service time over the average class's, so that times of all classes can be averaged.
+func (b *Balancer) weight(c *classState) float64 {
+	if c.service.n < baseSamples || b.mean == 0 {
+		return 1
+	}
+	return c.service.mean / b.mean
+}
