--- a/cmd/thymebend/crossing_test.go
+++ b/cmd/thymebend/crossing_test.go
@@ -25,6 +25,12 @@
 		`"repeat":"once"`, fmt.Sprintf(`"repeat":"by_key","group":"cell","window_ms":%d`, windowMS), 1))
 }
 
+// longSettings have classes that wait long, so that a request is held until a test lets it go on.
+func longSettings() json.RawMessage {
+	return json.RawMessage(strings.NewReplacer(`"aim_ms":800`, `"aim_ms":20000`, `"give_up_ms":2000`, `"give_up_ms":25000`,
+		`"give_up_ms":2500`, `"give_up_ms":25000`).Replace(testSettings))
+}
+
 // connecting reports whether some socket of this machine waits for a connection to an address to come up.
 func connecting(t *testing.T, addr net.Addr) bool {
 	t.Helper()
@@ -82,8 +88,7 @@
 		t.Run(name, func(t *testing.T) {
 			h := newHost(t, "s-1", ok)
 			empty := list(1, true)
-			long := map[string]any{"settings": json.RawMessage(strings.NewReplacer(`"aim_ms":800`, `"aim_ms":20000`,
-				`"give_up_ms":2000`, `"give_up_ms":25000`, `"give_up_ms":2500`, `"give_up_ms":25000`).Replace(testSettings))}
+			long := map[string]any{"settings": longSettings()}
 			g := startLoose(t, long, empty, newDiscovery(t, func(int) string { return empty }))
 			<-g.disc.calls
 			c := g.dial()
@@ -330,16 +335,8 @@
 		for range 7 {
 			rigs = append(rigs, launch(t, nil, old, d))
 		}
-		for i, g := range rigs {
-			until(t, name+": gateway "+fmt.Sprint(i), func() bool {
-				c, err := net.Dial("tcp", g.addr)
-				if err != nil {
-					return false
-				}
-				defer c.Close()
-				status, _, _ := ask(t, c, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
-				return status == 200
-			})
+		for _, g := range rigs {
+			g.ready()
 		}
 		if took := time.Since(began); took > 10*time.Second {
 			t.Errorf("%s: ready after %v", name, took)
@@ -504,8 +501,7 @@
 		}
 		ok(c, r, body)
 	})
-	g := start(t, map[string]any{"settings": json.RawMessage(strings.NewReplacer(`"aim_ms":800`, `"aim_ms":20000`, `"give_up_ms":2000`,
-		`"give_up_ms":25000`, `"give_up_ms":2500`, `"give_up_ms":25000`).Replace(testSettings))}, h)
+	g := start(t, map[string]any{"settings": longSettings()}, h)
 	<-g.disc.calls
 	c := g.dial()
 	if _, err := io.WriteString(c, view("left", 25000)); err != nil {
--- a/cmd/thymebend/helper_test.go
+++ b/cmd/thymebend/helper_test.go
@@ -274,16 +274,22 @@
 func startWith(t *testing.T, edit map[string]any, known string, d *discovery) *rig {
 	t.Helper()
 	r := launch(t, edit, known, d)
-	until(t, "the gateway to be ready", func() bool {
+	r.ready()
+	return r
+}
+
+// ready waits until the gateway answers that it is.
+func (r *rig) ready() {
+	r.t.Helper()
+	until(r.t, "the gateway to be ready", func() bool {
 		c, err := net.Dial("tcp", r.addr)
 		if err != nil {
 			return false
 		}
 		defer c.Close()
-		status, _, _ := ask(t, c, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+		status, _, _ := ask(r.t, c, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
 		return status == 200
 	})
-	return r
 }
 
 // startLoose runs a gateway that knows no host, and waits until it takes clients.
