Play a discovery that works through calls in turn, and hold the rule on drains by it

Cause: the emulated discovery answered each call at once (the fleet profile had a fixed 1.5 ms a call and 1 s), watches never ended at a change, and a change counted as told to a gateway only once the line had been written to it. A fleet whose gateways get no list at all broke no rule so: "requests went to servers that had been announced as leaving" could not show.

Change: Plan.Calls is a discovery with a capacity in lines a second, a cost of a call and of each host on its first line, a time-out after which a call gets 503 (at once or when its turn or the time-out has come), turns that abandoned calls still cost, watches that end instead of telling, and first lists without the hosts that drain. New faults: discovery-reset (all open watches), discovery-silence. The fleet profile's callWork and callPatience are such a queue now. Profile discovery-load draws 20 to 60 gateways, storms of calls and hosts that leave meanwhile; a change counts as told 6 s after discovery had it, or as long as toldby.go computes where the capacity does not suffice. No seed takes the profile unasked.

--- a/internal/lab/roster/roster.go
+++ b/internal/lab/roster/roster.go
@@ -107,17 +107,48 @@
 // Line is the list for a gateway in discovery's form: what changed after a version, or all of it for version 0
 // and for versions that never were or whose changes are forgotten.
 func (r *Roster) Line(gateway string, after int) []byte {
-	whole := after <= 0 || after > r.seq || after < r.forgot
+	return r.line(gateway, r.changedAfter(after), r.wholeFor(after))
+}
+
+// ServingLine is the whole list without the hosts that drain, as some registries answer a call.
+func (r *Roster) ServingLine(gateway string) []byte { return r.line(gateway, r.serving(), true) }
+
+// ChangedCount is how many hosts Line names.
+func (r *Roster) ChangedCount(after int) int { return len(r.changedAfter(after)) }
+
+// ServingCount is how many hosts ServingLine names.
+func (r *Roster) ServingCount() int { return len(r.serving()) }
+
+// wholeFor tells whether who has a version is sent the whole list.
+func (r *Roster) wholeFor(after int) bool { return after <= 0 || after > r.seq || after < r.forgot }
+
+// changedAfter is the hosts that who has a version is sent.
+func (r *Roster) changedAfter(after int) []Entry {
+	whole := r.wholeFor(after)
+	return r.entriesWhere(func(e Entry) bool { return whole && e.State != Removed || !whole && r.changed[e.Host] > after })
+}
+
+func (r *Roster) serving() []Entry {
+	return r.entriesWhere(func(e Entry) bool { return e.State == Up })
+}
+
+func (r *Roster) entriesWhere(wanted func(Entry) bool) []Entry {
+	var list []Entry
+	for _, name := range r.order {
+		if e := r.entries[name]; wanted(e) {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+func (r *Roster) line(gateway string, entries []Entry, whole bool) []byte {
 	doc := struct {
 		Seq   int         `json:"seq"`
 		Whole bool        `json:"whole"`
 		Hosts []wireEntry `json:"hosts"`
 	}{r.seq, whole, []wireEntry{}}
-	for _, name := range r.order {
-		e := r.entries[name]
-		if whole && e.State == Removed || !whole && r.changed[name] <= after {
-			continue
-		}
+	for _, e := range entries {
 		doc.Hosts = append(doc.Hosts, wireEntry{Host: e.Host, Dial: e.Dial[gateway], Site: e.Site, Class: e.Kind,
 			Block: e.Cell, Health: e.State, Share: 1, Born: e.Born})
 	}
--- a/internal/lab/virtual/agents.go
+++ b/internal/lab/virtual/agents.go
@@ -42,7 +42,11 @@
 
 // told is when a gateway was told, or counts as told, that a host drains or is gone.
 func (d *discovery) told(gateway int, host string) (roster.Told, bool) {
-	return d.of(gateway).Told(gatewayName(gateway), host)
+	t, ok := d.of(gateway).Told(gatewayName(gateway), host)
+	if by, over := d.latest.told(host); over && (!ok || by.At < t.At) {
+		return by, true
+	}
+	return t, ok
 }
 
 // forget drops what a gateway was told, as one that has restarted knows it no more.
@@ -81,12 +85,11 @@
 func (a *agent) anew() {
 	a.past = nil
 	a.list.Follow(a.d.list)
-	for _, c := range append([]*watch(nil), a.d.watches...) {
-		if c.via == a.via { // an agent that is given another history closes what it told by the old one
-			c.end.Reset()
-			a.d.drop(c)
-		}
-	}
+	a.resetWatches() // an agent that is given another history closes what it told by the old one
+}
+
+func (a *agent) resetWatches() {
+	a.d.reset(func(c *watch) bool { return c.via == a.via })
 }
 
 // restart takes the agent away, with its watches, and has it come back; old says with an earlier list, which the next
@@ -96,12 +99,7 @@
 		return
 	}
 	a.away = true
-	for _, c := range append([]*watch(nil), a.d.watches...) {
-		if c.via == a.via {
-			c.end.Reset()
-			a.d.drop(c)
-		}
-	}
+	a.resetWatches()
 	a.d.w.sim.After(after, func() {
 		a.away = false
 		a.d.w.sim.Note("the agent of %s is back", gatewayName(a.via))
--- /dev/null
+++ b/internal/lab/virtual/callqueue_test.go
@@ -0,0 +1,228 @@
+package virtual
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"thymebend/internal/lab/ledger"
+	"thymebend/internal/lab/roster"
+	"thymebend/internal/loop"
+)
+
+// Calls are worked off in turn. One that cannot be done within the time-out is refused, costs nothing and is told so at once or
+// when its turn or the time-out has come.
+func TestCallsAreAnsweredInTurn(t *testing.T) {
+	const second = time.Second
+	q := callQueue{CallQueue: CallQueue{LinesPerSecond: 30, CallLines: 25, HostLines: 1, TimeoutMS: 3000}}
+	if work := q.work(5); work != second {
+		t.Fatalf("a call of 25 lines with 5 hosts takes %v at 30 lines a second", work)
+	}
+	for i, want := range []struct {
+		now, work, at time.Duration
+		served        bool
+	}{
+		{0, second, second, true},
+		{0, second, 2 * second, true},
+		{0, second, 3 * second, true},
+		{0, second, 3 * second, false},
+		{second / 2, second, 3 * second, false},
+		{second, second, 4 * second, true},
+		{9 * second, second, 10 * second, true},
+		{9 * second, 5 * second, 10 * second, false},
+	} {
+		if at, served := q.enter(want.now, want.work); at != want.at || served != want.served {
+			t.Errorf("call %d: at %v, served %v", i, at, served)
+		}
+	}
+	q.ShedAtOnce = true
+	if at, served := q.enter(9*second, 3*second); at != 9*second || served {
+		t.Errorf("a queue that is too long answers at %v, served %v", at, served)
+	}
+}
+
+// A change counts as told after 6 s, or after the time that discovery needs for the calls that it has caused.
+func TestWhenAChangeCountsAsTold(t *testing.T) {
+	sim := NewSim(1, nil)
+	latest := &toldBy{sim: sim, work: 100 * time.Millisecond}
+	start := sim.Now()
+	after := func(d time.Duration) time.Duration { sim.Run(start + d); return d }
+	latest.changed(roster.Entry{Host: "a", State: roster.Draining})
+	latest.caused(20)
+	after(3 * time.Second)
+	latest.changed(roster.Entry{Host: "a", State: roster.Removed}) // the first notice counts
+	after(5999 * time.Millisecond)
+	if told, ok := latest.told("a"); ok {
+		t.Errorf("told early: %v", told)
+	}
+	after(toldAtTheLatest)
+	if told, ok := latest.told("a"); !ok || told.At != start+toldAtTheLatest || told.State != roster.Draining {
+		t.Errorf("%v, %v", told, ok)
+	}
+	latest.changed(roster.Entry{Host: "b", State: roster.Draining})
+	from := after(7 * time.Second)
+	latest.caused(100) // 10 s of work
+	after(25 * time.Second)
+	if told, ok := latest.told("b"); !ok || told.At != start+from+silenceNoticed+15*time.Second {
+		t.Errorf("%v, %v", told, ok)
+	}
+	if told, ok := latest.told("a"); !ok || told.At != start+toldAtTheLatest {
+		t.Errorf("what was told is put off: %v, %v", told, ok)
+	}
+	latest.changed(roster.Entry{Host: "a", State: roster.Up})
+	if _, ok := latest.told("a"); ok {
+		t.Error("a host that is up counts as leaving")
+	}
+}
+
+// watchers starts a world of gateways with a discovery that works in turn, and lets each have its list.
+func watchers(t *testing.T, calls CallQueue) *world {
+	t.Helper()
+	w := newWorld(Plan{Seed: 1, Gateways: 4, Hosts: 3, Sockets: 300, LatencyUS: 200, CostUS: 10, Calls: &calls}, nil,
+		func(r loop.Reducer) loop.Reducer { return r })
+	w.build()
+	w.sim.Run(epoch + 3*time.Second)
+	if n := len(w.disc.listed()); n != 4 {
+		t.Fatalf("%d gateways have a list", n)
+	}
+	return w
+}
+
+// listed is the gateways that have a watch with a list.
+func (d *discovery) listed() map[int]bool {
+	list := make(map[int]bool)
+	for _, c := range d.watches {
+		if c.told && !c.end.closed {
+			list[c.via] = true
+		}
+	}
+	return list
+}
+
+// Watches end when the list changes, are all reset, or fall silent; the list that answers the next call leaves out who drains.
+func TestWatchesThatEndAndListsWithoutDrainingHosts(t *testing.T) {
+	calls := CallQueue{LinesPerSecond: 1000, CallLines: 20, HostLines: 1, TimeoutMS: 3000, EndWatches: 1, WholeFirst: true}
+	w := watchers(t, calls)
+	before := slices.Clone(w.disc.watches)
+	w.list(w.hosts[0], roster.Draining, false)
+	w.sim.Run(w.sim.Now() + time.Millisecond)
+	for _, c := range before {
+		if !c.end.closed {
+			t.Errorf("the watch of %s stands", gatewayName(c.via))
+		}
+	}
+	line := string(w.disc.list.ServingLine("g0"))
+	whole := strings.Contains(line, `"whole":true`)
+	if strings.Contains(line, w.hosts[0].name+`"`) || !strings.Contains(line, w.hosts[1].name) || !whole {
+		t.Errorf("%s", line)
+	}
+	changed, serving := w.disc.list.ChangedCount(w.disc.list.Seq()-1), w.disc.list.ServingCount()
+	if changed != 1 || serving != 2 {
+		t.Errorf("%d changed, %d serve", changed, serving)
+	}
+	for _, storm := range []struct {
+		do    func()
+		after time.Duration // until every gateway has another watch
+	}{
+		{func() {}, time.Second},
+		{w.disc.resetOpen, time.Second},
+		{func() { w.disc.silence(10 * time.Second) }, 4 * time.Second},
+	} {
+		old := w.disc.watches
+		storm.do()
+		w.sim.Run(w.sim.Now() + storm.after)
+		silent := slices.ContainsFunc(w.disc.watches, func(c *watch) bool { return slices.Contains(old, c) && c.silent > 0 })
+		if len(w.disc.listed()) != 4 || silent {
+			t.Errorf("%d of 4 gateways have a list", len(w.disc.listed()))
+		}
+	}
+}
+
+// The profile is drawn when it is asked for alone, and a plan comes back from its file as it was.
+func TestPlansOfDiscoveryUnderLoad(t *testing.T) {
+	for seed := range uint64(300) {
+		if p := draw(t, seed, ""); p.Calls != nil {
+			t.Fatalf("seed %d has drawn it", seed)
+		}
+	}
+	p := draw(t, 3, discoveryLoadProfile)
+	path := filepath.Join(t.TempDir(), "p.json")
+	if err := p.Write(path); err != nil {
+		t.Fatal(err)
+	}
+	q, err := ReadPlan(path)
+	if err != nil || q.Calls == nil || *q.Calls != *p.Calls || Play(q, nil).Hash != Play(p, nil).Hash {
+		t.Errorf("a kept plan is another run: %v", err)
+	}
+	for text, want := range map[string]string{
+		`{}`:                       "calls.lines_per_second must be positive",
+		`{"lines_per_second": -1}`: "calls.lines_per_second must be positive",
+		`{"lines_per_second": 9, "call_lines": -1}`:   "must not be negative",
+		`{"lines_per_second": 9, "end_watches": 1.1}`: "calls.end_watches must be a chance",
+	} {
+		if err := os.WriteFile(path, fmt.Appendf(nil, `{"gateways": 1, "hosts": 1, "calls": %s}`, text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ReadPlan(path); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+}
+
+// impatient is a gateway with a planted defect: it gives a call up that waits in discovery's queue, and calls again.
+type impatient struct {
+	loop.Reducer
+	waiting map[loop.Conn]bool // calls that nothing has been heard of
+}
+
+// giveUpAfter is shorter than discovery's time-out, so that such a call still costs its turn.
+const giveUpAfter = 2700 * time.Millisecond
+
+// giveUpTimer is a kind of timer that the gateway does not have.
+const giveUpTimer = 201
+
+// Step implements loop.Reducer.
+func (g *impatient) Step(now time.Duration, e loop.Event) []loop.Effect {
+	if e.Kind == loop.TimerDue && e.Timer.Kind == giveUpTimer {
+		conn := loop.Conn(e.Timer.ID)
+		if !g.waiting[conn] {
+			return nil
+		}
+		e = loop.Event{Kind: loop.Broken, Conn: conn, Err: unix.ETIMEDOUT}
+	}
+	if e.Kind == loop.Data || e.Kind == loop.EOF || e.Kind == loop.Broken {
+		delete(g.waiting, e.Conn)
+	}
+	list := g.Reducer.Step(now, e)
+	for _, f := range list {
+		if f.Op == loop.Write && bytes.HasPrefix(f.Data, []byte("GET /v1/servers")) {
+			g.waiting[f.Conn] = true
+			timer := loop.Timer{Kind: giveUpTimer, ID: uint64(f.Conn)}
+			list = append(list, loop.Effect{Op: loop.SetTimer, Timer: timer, At: now + giveUpAfter})
+		}
+	}
+	return list
+}
+
+func makeImpatient(r loop.Reducer) loop.Reducer {
+	return &impatient{Reducer: r, waiting: make(map[loop.Conn]bool)}
+}
+
+// The rule on when a change counts as told can fail: gateways that give up calls in the queue break it.
+func TestCallsGivenUpInTheQueueAreCaught(t *testing.T) {
+	for seed := uint64(1); seed <= 40; seed++ {
+		o := play(draw(t, seed, discoveryLoadProfile), nil, makeImpatient)
+		if slices.ContainsFunc(o.Findings, func(f Finding) bool { return f.Rule == ledger.LateToDrained }) {
+			t.Logf("caught at seed %d", seed)
+			return
+		}
+	}
+	t.Error("not caught in 40 seeds")
+}
--- a/internal/lab/virtual/discovery.go
+++ b/internal/lab/virtual/discovery.go
@@ -24,7 +24,8 @@
 	port    uint16
 	watches []*watch // open ones, oldest first
 	down    bool
-	busy    time.Duration // with calls until then, where each takes its time
+	queue   *callQueue // of calls, where each takes its time
+	latest  *toldBy    // with Plan.Calls
 	mute    bool
 	lag     time.Duration
 	agents  []*agent // where lists are pushed, by gateway
@@ -39,6 +40,7 @@
 	started bool
 	told    bool // its first line has gone out
 	spoke   time.Duration
+	silent  time.Duration // it is written nothing until then
 }
 
 func (d *discovery) open(via int) {
@@ -102,25 +104,31 @@
 	c.inbox, c.asked = rest, true
 	c.after, _ = strconv.Atoi(r.URL.Query().Get("index"))
 	d.w.tolls.call()
-	if d.w.tolls == nil {
+	if d.queue == nil {
 		d.answer(c, true)
 		return
 	}
-	now := d.w.sim.Now()
-	d.busy = max(d.busy, now) + callWork
-	heard := d.busy-now <= callPatience
-	if !heard {
-		d.busy -= callWork
+	at, served := d.queue.enter(d.w.sim.Now(), d.queue.work(d.hostsFor(c)))
+	d.w.sim.At(at, func() { d.answer(c, served) })
+}
+
+// wholeFirst tells whether a watch is to be answered with the whole list without draining hosts.
+func (d *discovery) wholeFirst(c *watch) bool { return d.queue != nil && d.queue.WholeFirst && !c.told }
+
+// hostsFor is how many hosts the next line of a watch names.
+func (d *discovery) hostsFor(c *watch) int {
+	if d.wholeFirst(c) {
+		return d.of(c.via).ServingCount()
 	}
-	d.w.sim.At(min(d.busy, now+callPatience), func() { d.answer(c, heard) })
+	return d.of(c.via).ChangedCount(c.after)
 }
 
 // answer begins a watch, or refuses it.
-func (d *discovery) answer(c *watch, heard bool) {
+func (d *discovery) answer(c *watch, served bool) {
 	if c.end.closed || c.end.reset {
 		return
 	}
-	if !heard || d.down && len(d.agents) == 0 {
+	if !served || d.down && len(d.agents) == 0 {
 		_, _ = c.end.Write([]byte("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"))
 		d.drop(c)
 		return
@@ -134,10 +142,17 @@
 // tell writes what the watch has not been told.
 func (d *discovery) tell(c *watch) {
 	list := d.of(c.via)
-	if d.mute && len(d.agents) == 0 || !c.started || c.told && list.Seq() <= c.after {
+	if d.mute && len(d.agents) == 0 || d.w.sim.Now() < c.silent || !c.started || c.told && list.Seq() <= c.after {
+		return
+	}
+	if c.told && d.queue != nil && d.w.sim.Chance(d.queue.EndWatches) {
+		d.end(c)
 		return
 	}
 	line := list.Line(gatewayName(c.via), c.after)
+	if d.wholeFirst(c) {
+		line = list.ServingLine(gatewayName(c.via))
+	}
 	c.after, c.told = list.Seq(), true
 	d.write(c, line)
 	if len(d.agents) > 0 { // it was told when its agent was
@@ -161,7 +176,7 @@
 		if c.end.closed || c.end.reset {
 			return
 		}
-		if !d.mute && !d.down && d.w.sim.Now()-c.spoke >= beatEvery {
+		if !d.mute && !d.down && d.w.sim.Now() >= c.silent && d.w.sim.Now()-c.spoke >= beatEvery {
 			d.write(c, nil)
 		}
 		d.beat(c)
@@ -171,6 +186,7 @@
 func (d *discovery) put(e roster.Entry) {
 	d.w.sim.After(d.lag, func() {
 		d.list.Put(e)
+		d.latest.changed(e)
 		d.w.sim.Note("discovery %d: %s %s", d.list.Seq(), e.Host, e.State)
 		d.push()
 		d.tellAll()
@@ -185,12 +201,46 @@
 
 func (d *discovery) setDown(on bool) {
 	if d.down = on; on && len(d.agents) == 0 {
-		for _, c := range append([]*watch(nil), d.watches...) {
-			c.end.Reset()
-		}
-		d.watches = nil
+		d.reset(func(*watch) bool { return true })
 	}
 	if !on {
 		d.push()
 	}
 }
+
+// reset resets watches and returns how many.
+func (d *discovery) reset(which func(*watch) bool) (count int) {
+	for _, c := range append([]*watch(nil), d.watches...) {
+		if which(c) {
+			c.end.Reset()
+			d.drop(c)
+			count++
+		}
+	}
+	return count
+}
+
+// resetOpen resets all watches that stand. Calls that wait in the queue stay there.
+func (d *discovery) resetOpen() {
+	d.latest.caused(d.reset(func(c *watch) bool { return c.told }))
+}
+
+// silence has all watches that stand be written nothing for a while. Calls are answered as ever.
+func (d *discovery) silence(length time.Duration) {
+	count := 0
+	for _, c := range d.watches {
+		if c.told {
+			c.silent = d.w.sim.Now() + length
+			count++
+		}
+	}
+	d.latest.caused(count)
+	d.w.sim.After(length, d.tellAll)
+}
+
+// end ends a watch whose gateway then has to call again to hear of a change.
+func (d *discovery) end(c *watch) {
+	_, _ = c.end.Write([]byte("0\r\n\r\n"))
+	d.drop(c)
+	d.latest.caused(1)
+}
--- a/internal/lab/virtual/plan.go
+++ b/internal/lab/virtual/plan.go
@@ -35,29 +35,31 @@
 
 // Plan is a whole run: what it consists of, and every fault and request in it.
 type Plan struct {
-	Seed       uint64    `json:"seed"`
-	Profile    string    `json:"profile"`
-	Gateways   int       `json:"gateways"`
-	Hosts      int       `json:"hosts"`
-	Sockets    int       `json:"sockets"`
-	LagMS      int       `json:"lag_ms"`
-	LatencyUS  int       `json:"latency_us"`
-	JitterUS   int       `json:"jitter_us"`
-	Split      float64   `json:"split,omitempty"`
-	Partial    float64   `json:"partial,omitempty"`
-	Resets     float64   `json:"resets,omitempty"`
-	LoseDials  float64   `json:"lose_dials,omitempty"`
-	CostUS     int       `json:"cost_us,omitempty"`
-	Cold       bool      `json:"cold,omitempty"`
-	Zones      int       `json:"zones,omitempty"`  // of a fleet; 0 is one zone for all
-	Barren     bool      `json:"barren,omitempty"` // the last zone has gateways and no hosts
-	Views      bool      `json:"views,omitempty"`  // gateways know of each other
-	Shares     bool      `json:"shares,omitempty"` // and divide hosts among them, with Views
-	LoseData   float64   `json:"lose_datagrams,omitempty"`
-	DoubleData float64   `json:"double_datagrams,omitempty"`
-	Pushed     bool      `json:"pushed,omitempty"` // lists come by an agent on each gateway's machine
-	Faults     []Fault   `json:"faults"`
-	Requests   []Request `json:"requests"`
+	Seed       uint64  `json:"seed"`
+	Profile    string  `json:"profile"`
+	Gateways   int     `json:"gateways"`
+	Hosts      int     `json:"hosts"`
+	Sockets    int     `json:"sockets"`
+	LagMS      int     `json:"lag_ms"`
+	LatencyUS  int     `json:"latency_us"`
+	JitterUS   int     `json:"jitter_us"`
+	Split      float64 `json:"split,omitempty"`
+	Partial    float64 `json:"partial,omitempty"`
+	Resets     float64 `json:"resets,omitempty"`
+	LoseDials  float64 `json:"lose_dials,omitempty"`
+	CostUS     int     `json:"cost_us,omitempty"`
+	Cold       bool    `json:"cold,omitempty"`
+	Zones      int     `json:"zones,omitempty"`  // of a fleet; 0 is one zone for all
+	Barren     bool    `json:"barren,omitempty"` // the last zone has gateways and no hosts
+	Views      bool    `json:"views,omitempty"`  // gateways know of each other
+	Shares     bool    `json:"shares,omitempty"` // and divide hosts among them, with Views
+	LoseData   float64 `json:"lose_datagrams,omitempty"`
+	DoubleData float64 `json:"double_datagrams,omitempty"`
+	Pushed     bool    `json:"pushed,omitempty"` // lists come by an agent on each gateway's machine
+	// Calls is how discovery works through calls; nil answers each at once.
+	Calls    *CallQueue `json:"calls,omitempty"`
+	Faults   []Fault    `json:"faults"`
+	Requests []Request  `json:"requests"`
 }
 
 // mostGateways is what the addresses of the virtual network have room for.
@@ -88,6 +90,8 @@
 			"gateway-upgrade", "gateway-stillborn", "gateway-reload", "host-drain"},
 		sharesProfile: {"net-lose-data", "net-double-data", "net-jitter", "view-cut", "gateway-halt", "gateway-kill", "gateway-term", "gateway-upgrade",
 			"gateway-stillborn", "gateway-reload", "host-replace", "host-down", "host-cold", "host-errors", "fleet-replace", "fleet-kill", "surge"},
+		discoveryLoadProfile: {"load-reset", "load-silence", "load-end", "load-whole", "load-at-once",
+			"surge", "net-jitter"},
 		"reload":     {"gateway-reload", "host-drain", "host-replace", "discovery-down", "gateway-term"},
 		"everything": slices.Concat(hosts, spoils, gateways, disc, rude, net, []string{"surge", "host-cold", "gateway-reload"}),
 	}
@@ -97,6 +101,10 @@
 // large, so that no seed takes it unasked.
 const fleetProfile = "fleet"
 
+// discoveryLoadProfile is a discovery that works through calls in turn, while watches end, are reset or fall silent, and hosts
+// leave meanwhile. It is as large as the fleet profile for its traffic, so that no seed takes it unasked either.
+const discoveryLoadProfile = "discovery-load"
+
 // Profiles lists the profiles by name.
 func Profiles() []string {
 	var names []string
@@ -118,7 +126,7 @@
 	rng := rand.New(rand.NewPCG(seed, 0xd1ce))
 	all := Profiles()
 	if profile == "" {
-		small := slices.DeleteFunc(slices.Clone(all), func(n string) bool { return n == fleetProfile })
+		small := slices.DeleteFunc(slices.Clone(all), func(n string) bool { return n == fleetProfile || n == discoveryLoadProfile })
 		profile = small[rng.IntN(len(small))]
 	}
 	kinds, ok := profiles()[profile]
@@ -146,6 +154,9 @@
 		}
 	}
 	p.Pushed = profile == "pushed"
+	if profile == discoveryLoadProfile {
+		p.Gateways, p.Hosts = 20+rng.IntN(41), 6+rng.IntN(7)
+	}
 	p.Gateways, p.Hosts = cmp.Or(size.Gateways, p.Gateways), cmp.Or(size.Hosts, p.Hosts)
 	on := make(map[string]bool)
 	for _, k := range kinds { // swarm testing: faults that are always on together hide one another
@@ -186,6 +197,10 @@
 		length += 8000 // a view settles in some seconds, and a host takes twelve to warm
 	}
 	rate := float64(p.Hosts) * (8 + 12*rng.Float64()) // of some 25 a second that a host can do
+	if profile == discoveryLoadProfile {
+		length, rate = between(24000, 32000), rate*0.4
+		p.Calls = p.drawCalls(on, rng)
+	}
 	if size.Requests > 0 {
 		length = max(2000, int(float64(size.Requests)/rate*1000))
 	}
@@ -194,7 +209,7 @@
 	p.CostUS = min(p.CostUS, int(most*1e6/(rate/float64(p.Gateways)*eventsOfRequest*surge)))
 	times := 1 + (p.Hosts+p.Gateways)/20*length/20000 // faults are as dense in large runs
 	for _, k := range kinds {
-		if !on[k] || k[:4] == "net-" || k[:4] == "flee" || k[:4] == "rude" || k == "surge" || k == "bulk" {
+		if !on[k] || k[:4] == "net-" || k[:4] == "flee" || k[:4] == "load" || k[:4] == "rude" || k == "surge" || k == "bulk" {
 			continue
 		}
 		on[k] = false // some stand in a profile twice
@@ -231,6 +246,9 @@
 		}
 	}
 	p.Faults = append(p.Faults, p.fleetFaults(on, between)...)
+	if profile == discoveryLoadProfile {
+		p.Faults = append(p.Faults, p.loadFaults(on, between, length)...)
+	}
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return cmp.Compare(a.AtMS, b.AtMS) })
 	var rude []string
 	for _, k := range kinds {
@@ -298,6 +316,43 @@
 	return list
 }
 
+// drawCalls is a discovery that needs 1 to 4 s for a call of each gateway, one in four up to 10 s.
+func (p *Plan) drawCalls(on map[string]bool, rng *rand.Rand) *CallQueue {
+	calls := &CallQueue{CallLines: float64(20 + rng.IntN(41)), HostLines: 1, TimeoutMS: 3000, ShedAtOnce: on["load-at-once"], WholeFirst: on["load-whole"]}
+	all := 1 + 3*rng.Float64()
+	if rng.IntN(4) == 0 {
+		all = 4 + 6*rng.Float64()
+	}
+	calls.LinesPerSecond = float64(p.Gateways) * (calls.CallLines + float64(p.Hosts)) / all
+	if on["load-end"] {
+		calls.EndWatches = 0.6 * rng.Float64()
+	}
+	return calls
+}
+
+// loadFaults are storms of calls at discovery with hosts that leave meanwhile, half of them at most.
+func (p *Plan) loadFaults(on map[string]bool, between func(int, int) int, length int) []Fault {
+	var list []Fault
+	leaving := 0
+	for at := between(2000, 4000); at < length-8000; at += between(6000, 9000) {
+		if on["load-reset"] {
+			list = append(list, Fault{AtMS: at, Do: "discovery-reset"})
+		}
+		if on["load-silence"] {
+			list = append(list, Fault{AtMS: at + between(-500, 2000), Do: "discovery-silence", ForMS: between(1000, 6000)})
+		}
+		for range between(1, 2) {
+			if 2*leaving >= p.Hosts-1 {
+				break
+			}
+			how := []string{"host-drain", "host-replace"}[between(0, 1)]
+			list = append(list, Fault{AtMS: at + between(-500, 3000), Do: how, Who: leaving, ForMS: between(9000, 15000)})
+			leaving++
+		}
+	}
+	return list
+}
+
 // hostZones is how many zones have hosts.
 func (p *Plan) hostZones() int {
 	if p.Barren {
@@ -326,6 +381,11 @@
 	if p.Gateways < 1 || p.Gateways > mostGateways || p.Hosts < 1 || p.Hosts > 1000 {
 		return p, fmt.Errorf("%s: gateways must be 1 to %d and hosts 1 to 1000", path, mostGateways)
 	}
+	if p.Calls != nil {
+		if err := p.Calls.check(); err != nil {
+			return p, fmt.Errorf("%s: %w", path, err)
+		}
+	}
 	return p, nil
 }
 
--- /dev/null
+++ b/internal/lab/virtual/toldby.go
@@ -0,0 +1,94 @@
+package virtual
+
+import (
+	"time"
+
+	"thymebend/internal/lab/roster"
+)
+
+// The rule on drains for a discovery that works through calls in turn: a change counts as told to every gateway at the latest
+// 6 s after discovery had it and could be reached, whatever has become of the gateway's calls. The settings' grace comes on
+// top. A gateway that was told sooner has to keep to it from then on.
+//
+// Excluded is what no gateway could do: where discovery's capacity does not suffice to answer, within that time, all the calls
+// that it has caused itself. These are the calls of gateways whose watches it ended, reset or let fall silent, and the first
+// calls of all gateways. They need gateways x work of a call / capacity, added up where one storm follows another before the
+// work is done. The change then counts as told silenceNoticed + workStretch x that time after discovery had it, if that is
+// later than 6 s. Calls that gateways begin again by their own decision extend nothing.
+//
+// A discovery that is down or mute is not played with this rule: no fault of the profile is one.
+const (
+	toldAtTheLatest = 6 * time.Second
+	silenceNoticed  = 2800 * time.Millisecond // a missed beat, 2.4 s, and the spread of the calls after it, 0.4 s
+	workStretch     = 1.5                     // refused calls come again up to 1.5 s later, in no order
+)
+
+// departure is a host that drains or is gone, and when that counts as told at the latest.
+type departure struct {
+	host  string
+	state string
+	by    time.Duration
+}
+
+// toldBy keeps when changes count as told at the latest.
+type toldBy struct {
+	sim        *Sim
+	work       time.Duration // of one call
+	busyUntil  time.Duration // with the calls that discovery caused, if none is wasted
+	departures []departure   // in the order in which they came
+}
+
+// within is the time that gateways have from now on.
+func (t *toldBy) within() time.Duration {
+	backlog := max(0, t.busyUntil-t.sim.Now())
+	return max(toldAtTheLatest, silenceNoticed+time.Duration(workStretch*float64(backlog)))
+}
+
+// changed notes a change of the list.
+func (t *toldBy) changed(e roster.Entry) {
+	if t == nil {
+		return
+	}
+	for i, d := range t.departures {
+		if d.host != e.Host {
+			continue
+		}
+		if e.State == roster.Up {
+			t.departures = append(t.departures[:i:i], t.departures[i+1:]...)
+		}
+		return // the first notice of its leaving counts
+	}
+	if e.State != roster.Up {
+		t.departures = append(t.departures, departure{e.Host, e.State, t.sim.Now() + t.within()})
+	}
+}
+
+// caused notes calls that discovery has caused, which put off what does not yet count as told where there are too many.
+func (t *toldBy) caused(calls int) {
+	if t == nil || calls == 0 {
+		return
+	}
+	now := t.sim.Now()
+	t.busyUntil = max(t.busyUntil, now) + time.Duration(calls)*t.work
+	if t.within() <= toldAtTheLatest {
+		return
+	}
+	for i := range t.departures {
+		if d := &t.departures[i]; d.by > now {
+			d.by = max(d.by, now+t.within())
+		}
+	}
+}
+
+// told is when a host's leaving counts as told at the latest; ok is false if it does not leave or the time is not over.
+func (t *toldBy) told(host string) (at roster.Told, ok bool) {
+	if t == nil {
+		return roster.Told{}, false
+	}
+	for _, d := range t.departures {
+		if d.host == host && d.by <= t.sim.Now() {
+			return roster.Told{At: d.by, State: d.state}, true
+		}
+	}
+	return roster.Told{}, false
+}
--- a/internal/lab/virtual/tolls.go
+++ b/internal/lab/virtual/tolls.go
@@ -24,10 +24,6 @@
 	mostSends = 120
 	// mostOpened is one for each link that it may hold, twice over: a second may see a host restart and all come back.
 	mostOpened = 2 * mostLinks
-	// callWork is what discovery needs for a call; it works calls off one after another.
-	callWork = 1500 * time.Microsecond
-	// callPatience is how long a call waits for its turn.
-	callPatience = time.Second
 )
 
 // tolls counts over the second under way.
--- a/internal/lab/virtual/world.go
+++ b/internal/lab/virtual/world.go
@@ -230,6 +230,14 @@
 		w.gateways = append(w.gateways, &machine{w: w, n: n, name: gatewayName(n),
 			addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(n), 1 + byte(n>>8)}), 8443)})
 	}
+	switch {
+	case p.Calls != nil:
+		w.disc.queue = &callQueue{CallQueue: *p.Calls}
+		w.disc.latest = &toldBy{sim: w.sim, work: p.Calls.work(p.Hosts)}
+		w.disc.latest.caused(p.Gateways)
+	case w.tolls != nil:
+		w.disc.queue = &callQueue{CallQueue: fleetCalls()}
+	}
 	for n := range p.Hosts {
 		w.addHost(n, nil, p.Cold && n%2 == 0)
 	}
@@ -287,7 +295,7 @@
 func (w *world) arrived(h *host, via int, id string, first time.Duration) {
 	w.tolls.send(h.name)
 	if told, ok := w.disc.told(via, h.name); ok && first-told.At > drainGrace {
-		w.find(ledger.LateToDrained, id, "%s got it from %s %v after it was told %s", h.name, gatewayName(via), first-told.At, told.State)
+		w.find(ledger.LateToDrained, id, "%s got it from %s %v after it counted as told %s", h.name, gatewayName(via), first-told.At, told.State)
 	}
 }
 
@@ -556,6 +564,10 @@
 	case "discovery-mute":
 		w.disc.mute = true
 		after(func() { w.disc.mute = false; w.disc.push(); w.disc.tellAll() })
+	case "discovery-reset":
+		w.disc.resetOpen()
+	case "discovery-silence":
+		w.disc.silence(msec(f.ForMS))
 	case "discovery-flap":
 		w.disc.list.Flap()
 		w.disc.push()
@@ -763,7 +775,7 @@
 		w.sim.After(w.disc.lag+drainGrace+500*time.Millisecond, func() {
 			h.model.Drain(w.sim.Now(), true)
 		})
-		w.sim.After(w.disc.lag+4*time.Second, func() {
+		w.sim.After(w.disc.lag+w.drainsFor(f), func() {
 			if h.gone {
 				return
 			}
@@ -809,6 +821,15 @@
 	}
 }
 
+// drainsFor is how long a host drains before it is removed. It is longer than a change takes to count as told where the rule
+// on that is held.
+func (w *world) drainsFor(f Fault) time.Duration {
+	if w.plan.Calls == nil {
+		return 4 * time.Second
+	}
+	return msec(f.ForMS)
+}
+
 // back brings a host back, cold, and has discovery tell so.
 func (w *world) back(h *host, lag time.Duration) {
 	if h.gone || h.up || h.leaving {
