Keep calls' places in discovery's queue, pace them by the fleet, and wait for their fate

Cause: "requests went to servers that had been announced as leaving". One call a second was answered of four that discovery worked on.

Change: internal/pacing, pure, spaces calls by failures and the fleet's size; the module uses it. A call that is unanswered after 3.1 s keeps its place beside a younger one. Retry-After is heeded. From 2 s after a watch's end until the first call's fate is known, 2 s at most, new attempts wait (Balancer.Hold).

TestACallKeepsItsPlaceInTheQueue, TestCallsHeedRetryAfter and TestNothingIsSentWhileTheCallAfterAWatchWaits fail without the change.

--- a/api.go
+++ b/api.go
@@ -166,12 +166,14 @@
 type ListKind uint8
 
 // ListCached is the list as this gateway last had it, perhaps old; ListFailed says that a Watch failed or
-// was broken and carries no entries; ListDelta has changed entries only; ListFull is all there are.
+// was broken and carries no entries; ListDelta has changed entries only; ListFull is all there are;
+// ListUnreachable is a ListFailed of which it is known that the call met nobody.
 const (
 	ListCached ListKind = iota
 	ListFailed
 	ListDelta
 	ListFull
+	ListUnreachable
 )
 
 // Actions is implemented by the gateway and carries out what the module decides.
--- a/balancer.go
+++ b/balancer.go
@@ -17,6 +17,7 @@
 	"slices"
 	"time"
 
+	"thymebend/internal/pacing"
 	"thymebend/internal/subset"
 )
 
@@ -25,14 +26,6 @@
 // The sampling period of all loops, as in the paper.
 const period = 250 * time.Millisecond
 
-// How soon the list is asked for again. What discovery has counts as told 6 s after it can be reached. Calls
-// that fail begin askApart apart at most. One after a watch that broke is put off by askSpread at most, lest
-// all gateways whose watches broke together call together, and one after an unanswered call by half of it.
-const (
-	askApart  = 1500 * time.Millisecond
-	askSpread = 400 * time.Millisecond
-)
-
 // The design's own constants.
 const (
 	gamma        = 0.9  // share of the response aim meant for waiting
@@ -66,7 +59,7 @@
 	failWeight    = 0.2       // weight of one outcome in a server's failure share
 	ejectShare    = 0.35      // passed by two failures in a row, or by about one failure in three
 	maxEjected    = 0.5       // more than this share looking bad means the load is, not the servers
-	maxBackoff    = 3         // doublings of the ejection time, and of the wait between calls to the list
+	maxBackoff    = 3         // doublings of the ejection time
 	holdTurns     = 3.0       // openings of room for which work is held at least, if it may be
 	retryShare    = 0.1       // repeats of work that may have run, per request taken
 	retryBurst    = 20.0      // and how many may be saved up
@@ -122,7 +115,8 @@
 
 	asking, watching bool // asking: a call to the list is unanswered
 	askedAt          time.Duration
-	askFails         int
+	calls            pacing.Pacer
+	held             bool          // nothing new is sent: the list may be about to change
 	loggedAt         time.Duration // 0 is never
 }
 
@@ -378,7 +372,7 @@
 	wait := min(scale(c.Aim, min(b.cfg.CrossZonePrice, 1-gamma)), scale(c.hold[index(r.over)], crossHold))
 	cross := !fresh || b.now-r.arrived >= wait
 	noRoom := &c.noRoom[index(cross)]
-	if n == 0 || fresh && *noRoom {
+	if n == 0 || fresh && *noRoom || b.held {
 		return nil
 	}
 	var best *server
@@ -1118,12 +1112,13 @@
 // List tells news of the server list. A delta has changes only; a full or cached list drops what it omits.
 func (b *Balancer) List(now time.Duration, kind ListKind, entries []Server) {
 	b.now = now
-	if kind == ListFailed {
-		b.watchFailed()
+	if kind == ListFailed || kind == ListUnreachable {
+		b.watchFailed(kind)
 		return
 	}
 	if kind != ListCached {
-		b.asking, b.watching, b.askFails = false, true, 0
+		b.asking, b.watching = false, true
+		b.calls.Succeeded()
 	}
 	if kind != ListDelta {
 		for _, s := range b.servers {
@@ -1280,18 +1275,22 @@
 	b.out.Watch()
 }
 
-// watchFailed asks again, never in step with other gateways. Calls that fail begin further apart each time,
-// up to a bound. One that follows a watch, or a call that went long unanswered, comes at once.
-func (b *Balancer) watchFailed() {
-	stood := b.watching
+// Hold stops new attempts, or lets them go on.
+func (b *Balancer) Hold(on bool) { b.held = on }
+
+// watchFailed asks again, never in step with other gateways, and the later the more often calls fail.
+func (b *Balancer) watchFailed(kind ListKind) {
+	failure := pacing.Overloaded
+	if kind == ListUnreachable {
+		failure = pacing.Unreachable
+	} else if b.watching {
+		failure = pacing.Ended
+	}
 	b.asking, b.watching = false, false
-	if !b.cfg.AskForList {
-		return
+	if b.cfg.AskForList {
+		spread, jitter := b.rng.Float64(), b.rng.Float64()
+		b.out.Wake(b.calls.Failed(failure, b.cfg.Gateways, b.now-b.askedAt, spread, jitter), tokenWatch)
 	}
-	apart := min(scale(b.meanAim(), float64(int(1)<<min(b.askFails, maxBackoff))), askApart)
-	next := b.askedAt + scale(apart, 0.5+b.rng.Float64()/2)
-	b.askFails++
-	b.out.Wake(max(next-b.now, scale(askSpread, b.rng.Float64()/float64(2-index(stood)))), tokenWatch)
 }
 
 // checkWatch asks again if a call was never answered.
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1563,3 +1563,24 @@
 		t.Errorf("member %v and not usable when its trial is due", s.member)
 	}
 }
+
+// While the list may be about to change nothing new is sent; what is held goes out, or is refused in time, all the same.
+func TestHoldStopsNewAttempts(t *testing.T) {
+	r := newRig(t, testConfig(), ready(1, 0, 0))
+	r.b.Hold(true)
+	r.request(1, 0)
+	if n := len(r.take("send")); n != 0 {
+		t.Fatalf("sent %d times while held", n)
+	}
+	r.b.Hold(false)
+	r.b.Dispatch(r.now)
+	if n := len(r.take("send")); n != 1 {
+		t.Fatalf("sent %d times after the hold, want once", n)
+	}
+	r.b.Hold(true)
+	r.request(2, 0)
+	r.wait(testConfig().Classes[0].Deadline)
+	if refused, failed := r.finals(2); refused+failed != 1 || len(r.take("send")) != 0 {
+		t.Errorf("while held: refused %d times, failed %d times, want one answer and nothing sent", refused, failed)
+	}
+}
--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -103,6 +103,10 @@
 	if g.watch != nil {
 		g.dropWatch(g.watch, EndListReplace, nil)
 	}
+	if g.now < g.callNotBefore {
+		g.setTimer(timerCall, 0, g.callNotBefore)
+		return
+	}
 	g.watch = g.openWatch()
 }
 
@@ -123,9 +127,13 @@
 	clear(g.ended)
 	g.ended = g.ended[:0]
 	if g.lost {
-		g.lost = false
+		kind := thymebend.ListFailed
+		if g.unmet {
+			kind = thymebend.ListUnreachable
+		}
+		g.lost, g.unmet = false, false
 		g.told = true
-		g.module.List(g.now, thymebend.ListFailed, nil)
+		g.module.List(g.now, kind, nil)
 	}
 }
 
--- a/internal/gateway/fromlist.go
+++ b/internal/gateway/fromlist.go
@@ -1,17 +1,26 @@
 package gateway
 
 import (
+	"errors"
 	"time"
 
 	"thymebend"
 	"thymebend/internal/hostgroup"
 	"thymebend/internal/loop"
+	"thymebend/internal/pacing"
 )
 
 // moveAgain is how soon discovery's new address is asked again after a call that failed, while the old watch
 // stands: what discovery has to tell counts as told 4 s after a reload, and the old address is about to close.
 const moveAgain = 200 * time.Millisecond
 
+// toldAfterEnd is how long after the end of a watch a change counts as told, unless a call since then has failed: a call that
+// waits in discovery's queue does not put it off. From then on nothing new is sent until that call's fate is known.
+const toldAfterEnd = 2 * time.Second
+
+// mostHold bounds that wait: a discovery that is mute for longer is out of order, and its last list is the best there is.
+const mostHold = 2 * time.Second
+
 // openWatch calls discovery where the configuration now has it.
 func (g *Gateway) openWatch() *hostgroup.Watch {
 	w := hostgroup.NewWatch(g.pool.NextConn(), g.cfg.Discovery)
@@ -21,7 +30,7 @@
 }
 
 func (g *Gateway) watchOn(c loop.Conn) *hostgroup.Watch {
-	for _, w := range [...]*hostgroup.Watch{g.watch, g.moving} {
+	for _, w := range [...]*hostgroup.Watch{g.watch, g.moving, g.queued} {
 		if w != nil && w.Conn == c {
 			return w
 		}
@@ -53,6 +62,10 @@
 		return
 	}
 	g.cfg.Discovery = fresh.Discovery
+	g.movePacer.Succeeded()
+	if g.queued != nil {
+		g.dropWatch(g.queued, EndListReplace, nil)
+	}
 	g.move()
 }
 
@@ -109,11 +122,9 @@
 				return
 			}
 		}
-		if first = false; w == g.moving {
-			if g.watch != nil {
-				g.dropWatch(g.watch, EndListReplace, nil)
-			}
-			g.watch, g.moving = w, nil
+		if first {
+			first = false
+			g.watchAnswered(w)
 		}
 		kind := thymebend.ListDelta
 		if news.Whole {
@@ -133,23 +144,120 @@
 	g.setTimer(timerWatch, uint64(w.Conn), g.now+w.Patience())
 }
 
+// watchAnswered makes the call that is answered first the watch in force. A call to a new address goes on beside the old
+// address's watch.
+func (g *Gateway) watchAnswered(w *hostgroup.Watch) {
+	if g.watch != nil && g.watch != w {
+		g.dropWatch(g.watch, EndListReplace, nil)
+	}
+	if g.moving != nil && g.moving != w && g.moving.Addr == w.Addr {
+		g.dropWatch(g.moving, EndListReplace, nil)
+	}
+	if g.queued != nil && g.queued != w {
+		g.dropWatch(g.queued, EndListReplace, nil)
+	}
+	if w == g.moving {
+		g.moving = nil
+	}
+	g.watch, g.queued = w, nil
+	g.movePacer.Succeeded()
+	g.heard()
+}
+
+// callUnanswered deals with a call that was not answered in time. It may still wait in discovery's queue, and a call that is
+// given up there costs discovery its turn for nothing: it keeps its place, and another goes out beside it, in case it is
+// lost. It reports whether the call was kept; there is one such place.
+func (g *Gateway) callUnanswered(w *hostgroup.Watch) bool {
+	if g.pushed() || w.Started() || !w.Up() || g.queued != nil {
+		return false
+	}
+	g.log.Info().Stringer("discovery", w.Addr).Msg("no answer yet, the call keeps its place and another is made")
+	g.queued = w
+	g.setTimer(timerWatch, uint64(w.Conn), g.now+hostgroup.AbandonAfter)
+	switch {
+	case w == g.moving:
+		g.moving = nil
+		g.moveLater(pacing.Overloaded)
+	case w == g.watch:
+		g.watch, g.lost = nil, true
+	}
+	return true
+}
+
+// unheard notes that the watch has ended.
+func (g *Gateway) unheard() {
+	if g.pushed() {
+		return
+	}
+	g.unheardSince = g.now
+	g.setTimer(timerHold, 0, g.now+toldAfterEnd)
+}
+
+// holdDue begins the wait for the call's fate, or ends it.
+func (g *Gateway) holdDue() {
+	if g.now >= g.unheardSince+toldAfterEnd+mostHold {
+		g.heard()
+		return
+	}
+	g.module.Hold(true)
+	g.setTimer(timerHold, 0, g.now+mostHold)
+}
+
+// heard notes that a call since the watch's end was answered, failed or took too long.
+func (g *Gateway) heard() {
+	if g.unheardSince == 0 {
+		return
+	}
+	g.unheardSince = 0
+	g.stopTimer(timerHold, 0)
+	g.module.Hold(false)
+	g.told = true
+}
+
+// moveLater sets the time of the next call to the new address.
+func (g *Gateway) moveLater(failure pacing.Failure) {
+	after := moveAgain
+	if !g.pushed() {
+		after = max(moveAgain, g.movePacer.Failed(failure, g.cfg.Settings.Config.Gateways, 0, g.draws.Float64(), g.draws.Float64()))
+	}
+	g.setTimer(timerMove, 0, max(g.now+after, g.callNotBefore))
+}
+
 // watchEnds ends a watch. Where no other is left, the module is told and asks again when it sees fit.
 func (g *Gateway) watchEnds(w *hostgroup.Watch, end End, err error) {
+	var refusal *hostgroup.Refusal
+	if errors.As(err, &refusal) && refusal.RetryAfter > 0 {
+		g.callNotBefore = g.now + refusal.RetryAfter
+	}
+	failure := pacing.Overloaded
+	if !w.Up() {
+		failure = pacing.Unreachable
+	}
+	if w == g.queued {
+		g.dropWatch(w, end, err)
+		return // the module was told when the call was not answered in time
+	}
 	moving := w == g.moving
 	g.dropWatch(w, end, err)
+	if !w.Started() {
+		g.heard()
+	}
 	switch {
 	case g.watch == nil && g.moving != nil:
 		g.watch, g.moving = g.moving, nil // the old address has closed before the new one answered
 	case g.watch == nil && g.pushed():
 		g.setTimer(timerMove, 0, g.now+moveAgain)
 	case g.watch == nil:
-		g.lost = true
+		g.lost, g.unmet = true, failure == pacing.Unreachable
+		if w.Started() && end != EndListSilent {
+			g.unheard()
+		}
 	case moving && g.watch.Addr == g.cfg.Discovery && g.pushed():
 		g.setTimer(timerWatch, uint64(g.watch.Conn), g.now+moveAgain) // the watch is silent: the agent is asked beside it again
 	case moving && g.watch.Addr == g.cfg.Discovery:
 		g.setTimer(timerWatch, uint64(g.watch.Conn), g.now+g.watch.Patience())
 	case moving:
-		g.setTimer(timerMove, 0, g.now+moveAgain)
+		g.moveLater(failure)
 	}
 }
 
@@ -157,9 +265,12 @@
 	g.log.Info().Stringer("end", end).Stringer("discovery", w.Addr).AnErr("cause", err).Msg("watch")
 	g.stopTimer(timerWatch, uint64(w.Conn))
 	g.close(w.Conn)
-	if w == g.watch {
+	switch w {
+	case g.watch:
 		g.watch = nil
-	} else {
+	case g.moving:
 		g.moving = nil
+	case g.queued:
+		g.queued = nil
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -15,6 +16,7 @@
 	"thymebend/internal/hostgroup"
 	"thymebend/internal/loop"
 	"thymebend/internal/operators"
+	"thymebend/internal/pacing"
 	"thymebend/internal/servers"
 )
 
@@ -28,6 +30,8 @@
 	timerAccept
 	timerStop
 	timerMove
+	timerCall
+	timerHold
 	timerOperator
 	timerElder
 	timerHeir
@@ -42,6 +46,9 @@
 	clientShare = 0.65
 )
 
+// drawStream tells the gateway's own random draws from others of the same seed.
+const drawStream = 0x6c697374
+
 // idleShare of the time after which hosts close idle links: closed by then, none is reused too late.
 const idleShare = 0.7
 
@@ -131,7 +138,14 @@
 	group  *hostgroup.Group
 	watch  *hostgroup.Watch
 	moving *hostgroup.Watch // asks discovery's new address while the old watch stands
+	queued *hostgroup.Watch // an older call that may still wait in discovery's queue beside a younger one
 	lost   bool             // the watch ended; the module is told once it has returned
+	unmet  bool             // with lost: its connection never came up
+
+	callNotBefore time.Duration // discovery has asked for no call until then
+	unheardSince  time.Duration // the watch ended then, and no call since has been answered or failed; 0 otherwise
+	movePacer     pacing.Pacer  // of the calls to a new address
+	draws         *rand.Rand    // of the gateway itself; the module has its own
 
 	olderSince time.Duration // the agent has had an older list than this gateway since then; 0 if it has not
 
@@ -151,7 +165,9 @@
 		relays: make(map[loop.Conn]*relay),
 		byLink: make(map[loop.Conn]*execution), byID: make(map[uint64]*execution),
 		links: clients.NewLinks(0), pool: servers.NewPool(0),
-		group: hostgroup.New(cfg.Settings.Gateway.Zones),
+		group:     hostgroup.New(cfg.Settings.Gateway.Zones),
+		movePacer: pacing.Pacer{First: moveAgain},
+		draws:     rand.New(rand.NewPCG(cfg.Seed, drawStream)),
 	}
 	return g
 }
@@ -325,6 +341,12 @@
 		if g.watch == nil || g.watch.Addr != g.cfg.Discovery {
 			g.move()
 		}
+	case timerCall:
+		if g.watch == nil && g.moving == nil {
+			g.watch = g.openWatch()
+		}
+	case timerHold:
+		g.holdDue()
 	case timerElder:
 		if g.elder != nil {
 			g.loseElder("it does not answer")
--- a/internal/gateway/pushed.go
+++ b/internal/gateway/pushed.go
@@ -21,6 +21,9 @@
 // the list stays in force and the watch stays open. Lest it is the watch that is dead, the agent is asked once more
 // beside it; what answers first goes on.
 func (g *Gateway) watchSilent(w *hostgroup.Watch) {
+	if g.callUnanswered(w) {
+		return
+	}
 	if !g.pushed() || w != g.watch || !w.Started() {
 		g.watchEnds(w, EndListSilent, nil)
 		return
--- a/internal/hostgroup/watch.go
+++ b/internal/hostgroup/watch.go
@@ -15,13 +15,27 @@
 // How long discovery may be silent. A connection that is not up after a second's resend of the kernel's has met nobody. A call waits in
 // turn before its answer begins; from then on a line comes every 2 s. What discovery has to tell counts as told 6 s after
 // it could be reached: a watch that falls silent, the call after it that is never answered, and the one after that must
-// all fit in; docs/design/discovery-times.md has the sum.
+// all fit in; docs/design/discovery-times.md has the sum. A call that is not answered within AnswerWithin may still wait in
+// discovery's queue: it keeps its place there until AbandonAfter, and another is made beside it.
 const (
 	UpWithin     = 1200 * time.Millisecond
-	AnswerWithin = 2700 * time.Millisecond
+	AnswerWithin = 3100 * time.Millisecond
 	BeatWithin   = 2400 * time.Millisecond
+	AbandonAfter = 30 * time.Second
 )
 
+// mostRetryAfter bounds what a refusal may ask for.
+const mostRetryAfter = time.Minute
+
+// Refusal is an answer of discovery that is not the list.
+type Refusal struct {
+	Status     int
+	RetryAfter time.Duration // when it asks to be called again; 0 if it does not say
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return fmt.Sprintf("discovery answered %d", r.Status) }
+
 // mostPending bounds an unfinished line of the watch: thousands of hosts.
 const mostPending = 4 << 20
 
@@ -62,7 +76,7 @@
 		return nil, false, fault
 	}
 	if head != nil && head.Status != 200 {
-		return nil, false, fmt.Errorf("discovery answered %d", head.Status)
+		return nil, false, &Refusal{Status: head.Status, RetryAfter: retryAfter(head)}
 	}
 	w.pending = append(w.pending, piece...)
 	for w.scanned < len(w.pending) {
@@ -109,9 +123,22 @@
 	return false, nil
 }
 
+// retryAfter reads the field of that name in seconds. What is no such number, such as a date, says nothing.
+func retryAfter(head *http1.Head) time.Duration {
+	value, _ := head.Get("Retry-After")
+	seconds, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, mostRetryAfter.Seconds()) * float64(time.Second))
+}
+
 // Started reports whether discovery has begun to answer.
 func (w *Watch) Started() bool { return w.started }
 
+// Up reports whether the connection has come up.
+func (w *Watch) Up() bool { return w.up }
+
 // Patience is how long the watch may now be silent.
 func (w *Watch) Patience() time.Duration {
 	switch {
--- /dev/null
+++ b/internal/lab/virtual/calls_test.go
@@ -0,0 +1,145 @@
+package virtual
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+)
+
+// caller is a gateway that calls a registry, and when it did.
+type caller struct {
+	registry
+	calledAt []time.Duration // since the play's start
+	toldAt   []time.Duration
+}
+
+// newCaller prepares a registry that treats calls one by one as listed, and those after the list as served.
+func newCaller(seed uint64, calls ...treat) *caller {
+	sim := NewSim(seed, nil)
+	c := &caller{registry: registry{sim: sim, net: NewNet(sim), at: netip.MustParseAddrPort("10.2.0.1:8500"), open: make(map[*End]bool)}}
+	c.told = func() { c.toldAt = append(c.toldAt, sim.Now()-epoch) }
+	c.treat = func(call int) treat {
+		if call > 0 && len(c.calledAt) < call {
+			c.calledAt = append(c.calledAt, sim.Now()-epoch)
+		}
+		if call < len(calls) {
+			return calls[call]
+		}
+		return served
+	}
+	c.prepare()
+	return c
+}
+
+// A call that waits in discovery's queue keeps its place though it is made good by another: its late answer is used, and the
+// younger call given up.
+func TestACallKeepsItsPlaceInTheQueue(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newCaller(seed, queued, mute, mute, mute)
+		c.turn = 8 * time.Second
+		gatewayOn(t, c.sim, c.net, c.at, "subscribe", nil)
+		c.sim.Run(epoch + 20*time.Second)
+		if len(c.toldAt) != 1 || c.toldAt[0]-c.calledAt[0] != c.turn {
+			t.Fatalf("seed %d: told at %v, want once, with the answer to the first call", seed, c.toldAt)
+		}
+		if len(c.calledAt) != 3 || c.calledAt[1] > 3500*time.Millisecond {
+			t.Errorf("seed %d: called at %v, want a second call soon after 3.1 s and a third 3 s later", seed, c.calledAt)
+		}
+	}
+}
+
+// Discovery says when it wants to be called again.
+func TestCallsHeedRetryAfter(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newCaller(seed, shed)
+		gatewayOn(t, c.sim, c.net, c.at, "subscribe", nil)
+		c.sim.Run(epoch + 20*time.Second)
+		if len(c.calledAt) != 2 || c.calledAt[1]-c.calledAt[0] < 7500*time.Millisecond || c.calledAt[1]-c.calledAt[0] > 8*time.Second {
+			t.Errorf("seed %d: called at %v, want 7.5 s apart", seed, c.calledAt)
+		}
+	}
+}
+
+// From the time at which a change counts as told after a watch has ended, nothing is sent while the call after it waits: its answer may
+// name the very host. A call that fails, or waits for too long, lets requests go on by the list there is.
+func TestNothingIsSentWhileTheCallAfterAWatchWaits(t *testing.T) {
+	const list = `{"seq":2,"whole":true,"hosts":[{"host":"h","dial":"10.3.0.1:80","site":"a","class":"c","block":0,"health":"up","share":1,"born_ms":0}]}`
+	for _, play := range []struct {
+		name    string
+		calls   []treat
+		turn    time.Duration
+		quiet   bool // between 2.1 s and 2.7 s after the watch's end
+		resumes bool // at 5 s at the latest
+	}{
+		{"the call waits and is served", []treat{served, queued}, 2800 * time.Millisecond, true, true},
+		{"the call fails", []treat{served, failed, mute}, 0, false, true},
+		{"the call is never answered", []treat{served, mute, mute, mute}, 0, true, true},
+		{"the call is served", []treat{served, served}, 0, false, true},
+	} {
+		t.Run(play.name, func(t *testing.T) {
+			c := newCaller(1, play.calls...)
+			c.line, c.turn = list, play.turn
+			sent := hostOn(c.sim, c.net, netip.MustParseAddrPort("10.3.0.1:80"))
+			gatewayOn(t, c.sim, c.net, c.at, "subscribe", nil)
+			var ended time.Duration
+			c.sim.At(epoch+3*time.Second, func() {
+				ended = c.sim.Now()
+				for e := range c.open {
+					e.Close()
+				}
+				clear(c.open)
+			})
+			requestsOn(c.sim, c.net, netip.MustParseAddrPort("10.1.0.1:8443"), 40*time.Millisecond)
+			c.sim.Run(epoch + 12*time.Second)
+			between := func(from, until time.Duration) bool {
+				return slices.ContainsFunc(*sent, func(at time.Duration) bool { return at >= ended+from && at < ended+until })
+			}
+			if !between(time.Second, 1900*time.Millisecond) {
+				t.Fatal("nothing is sent though the list is known")
+			}
+			if between(2100*time.Millisecond, 2700*time.Millisecond) == play.quiet {
+				t.Errorf("sent while the call waits: %v", play.quiet)
+			}
+			if between(4500*time.Millisecond, 5*time.Second) != play.resumes {
+				t.Errorf("sent once the call's fate is known, or it waited too long: %v", !play.resumes)
+			}
+		})
+	}
+}
+
+// hostOn is a host that serves each request at once. It returns when requests came.
+func hostOn(sim *Sim, net *Net, at netip.AddrPort) *[]time.Duration {
+	came := new([]time.Duration)
+	var l *Listener
+	l = net.Listen(at, 64, nil, func() {
+		for e := l.Accept(); e != nil; e = l.Accept() {
+			var inbox []byte
+			e.ready = func() {
+				inbox = append(inbox, e.Read(1<<16)...)
+				for _, _, rest, whole, err := message(inbox); whole && err == nil; _, _, rest, whole, err = message(inbox) {
+					inbox = rest
+					*came = append(*came, sim.Now())
+					_, _ = e.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+				}
+			}
+			e.ready()
+		}
+	})
+	return came
+}
+
+// requestsOn sends a request on a connection of its own again and again.
+func requestsOn(sim *Sim, net *Net, to netip.AddrPort, every time.Duration) {
+	id := 0
+	var next func()
+	next = func() {
+		id++
+		text := fmt.Sprintf("GET /view HTTP/1.1\r\nHost: x\r\nX-Trace-Id: r%d\r\nX-Qos: view\r\nX-Expires-In: 1000m\r\nConnection: close\r\n\r\n", id)
+		var client *End
+		client = net.Dial(to, nil, func(error) { _, _ = client.Write([]byte(text)) })
+		sim.After(every, next)
+	}
+	sim.After(2*time.Second, next)
+}
--- a/internal/lab/virtual/times_test.go
+++ b/internal/lab/virtual/times_test.go
@@ -1,6 +1,7 @@
 package virtual
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net/netip"
@@ -30,6 +31,8 @@
 	failed               // 503
 	reset                // its connection is reset once the call has come
 	torn                 // half of a line, then nothing
+	queued               // served once it has waited its turn
+	shed                 // 503 with a time to come back
 )
 
 // registry is a discovery of few words. Each call is treated as its place says; those after the last as the last.
@@ -43,6 +46,8 @@
 	open   map[*End]bool // watches that stand
 	told   func()        // a list has been written to the gateway
 	ln     *Listener
+	line   string        // the list; registryLine where it is empty
+	turn   time.Duration // that a queued call waits
 }
 
 const registryLine = `{"seq":5,"whole":true,"hosts":[]}`
@@ -78,33 +83,46 @@
 	how := r.treat(r.calls)
 	r.calls++
 	write := func(text string) { _, _ = e.Write([]byte(text)) }
-	chunk := func(text string) { write(fmt.Sprintf("%x\r\n%s\r\n", len(text), text)) }
-	head := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 	switch how {
 	case served:
-		r.open[e] = true
-		write(head)
-		chunk(registryLine + "\n")
-		r.told()
-		var beat func()
-		beat = func() {
-			if r.open[e] && !e.closed && !e.reset {
-				chunk("\n")
-				r.sim.After(beatEvery, beat)
-			}
-		}
-		r.sim.After(beatEvery, beat)
+		r.serve(e)
+	case queued:
+		r.sim.After(r.turn, func() { r.serve(e) })
+	case shed:
+		write("HTTP/1.1 503 Service Unavailable\r\nRetry-After: 7.5\r\nContent-Length: 0\r\n\r\n")
 	case failed:
 		write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
 	case reset:
 		e.Reset()
 	case torn:
-		write(head)
+		write(chunkedHead)
 		write("200\r\n" + registryLine[:20])
 	}
 	r.prepare()
 }
 
+const chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+// serve answers a call with the list and then a beat every 2 s.
+func (r *registry) serve(e *End) {
+	if e.closed || e.reset || e.Gone() {
+		return
+	}
+	chunk := func(text string) { _, _ = fmt.Fprintf(e, "%x\r\n%s\r\n", len(text), text) }
+	r.open[e] = true
+	_, _ = e.Write([]byte(chunkedHead))
+	chunk(cmp.Or(r.line, registryLine) + "\n")
+	r.told()
+	var beat func()
+	beat = func() {
+		if r.open[e] && !e.closed && !e.reset {
+			chunk("\n")
+			r.sim.After(beatEvery, beat)
+		}
+	}
+	r.sim.After(beatEvery, beat)
+}
+
 // gatewayOn starts a gateway that asks, or is told by, a registry.
 func gatewayOn(t *testing.T, sim *Sim, net *Net, at netip.AddrPort, mode string, wrap func(*Loop, loop.Reducer) loop.Reducer) *Loop {
 	t.Helper()
