Apply a host list in linear time, and take who leaves from a faulty object too

Change: the names of a whole list are looked up in a set. A delta's entries hold in their order, as they did. A whole list has no order: of two entries of one host the one that leaves holds. From a faulty object those hosts of the group leave that it says drain or are removed; nothing else changes, and the version in force stays, so that the next call brings all of it again. Apply returns these departures beside the error. That bad input changes nothing is kept for all that could send a request anywhere: a host that leaves on such a word gets fewer, and the next answer has it up again if it is. A delta of an earlier version than the one in force was applied, and could bring a draining host back: now only its departures are, and the version goes back as before, for discovery goes on from there.

Rejected: to end the watch on an earlier delta and ask for the whole list, which would be taken from the same discovery that is behind, and bring back what had drained; to pass over earlier deltas altogether, with a drain in them that counts as told.

A removed or draining entry counts by the host's name, whatever start it names: the group and the module agree on that, and the test holds both to it.

TestContradictoryEntries, TestFaultyObjectStillTellsWhoLeaves and TestVersionThatGoesBack fail with list.go as it was; the time alone no test can hold without a clock, so the test counts allocations a host.

--- a/internal/hostgroup/list.go
+++ b/internal/hostgroup/list.go
@@ -108,32 +108,34 @@
 // mostShare bounds what a list may say that a host can do, both ways: beyond it the figure is none.
 const mostShare = 1000.0
 
-// Apply takes one object in discovery's form. A faulty object changes nothing.
+// Apply takes one object in discovery's form. Entries of a delta hold in their order, so that the last one on a host decides,
+// whatever start of it they name. A whole list has no order: a host that it names twice is up only if both entries say so.
+//
+// A faulty object is an error and changes nothing but this: hosts of the group that it says drain or are removed do so, as
+// News tells beside the error. Discovery has written it, so they count as told. The version in force stays, so that the next
+// call asks for all of it again.
+//
+// A delta of an earlier version than the one in force tells what this gateway knew before: its hosts that leave do so, and
+// none comes up by it. The version goes back with it, for discovery goes on from there. An earlier whole list is taken.
 func (g *Group) Apply(raw []byte) (News, error) {
 	var doc document
 	if err := json.Unmarshal(raw, &doc); err != nil {
-		return News{}, fmt.Errorf("host list: %w", err)
+		return g.departures(doc.Hosts), fmt.Errorf("host list: %w", err)
 	}
 	if doc.Seq == nil {
-		return News{}, fmt.Errorf("host list: seq is missing")
+		return g.departures(doc.Hosts), fmt.Errorf("host list: seq is missing")
 	}
-	fresh := make([]*Host, 0, len(doc.Hosts))
-	for i := range doc.Hosts {
-		h, err := g.read(&doc.Hosts[i])
-		if err != nil {
-			return News{}, err
-		}
-		fresh = append(fresh, h)
+	fresh, err := g.readAll(&doc)
+	if err != nil {
+		return g.departures(doc.Hosts), err
 	}
-	news := News{Whole: doc.Whole}
+	if !doc.Whole && *doc.Seq < g.seq {
+		g.seq = *doc.Seq
+		return g.departures(doc.Hosts), nil
+	}
+	news := News{Whole: doc.Whole, Entries: make([]thymebend.Server, 0, len(fresh))}
 	if doc.Whole {
-		for id := range g.hosts {
-			if !slices.ContainsFunc(fresh, func(h *Host) bool { return h.ID == id }) {
-				news.Changed = append(news.Changed, id)
-				delete(g.hosts, id)
-			}
-		}
-		slices.Sort(news.Changed) // maps are walked in no order; the same news must have the same effects
+		news.Changed = g.omit(fresh)
 	}
 	for _, h := range fresh {
 		old := g.hosts[h.ID]
@@ -150,23 +152,97 @@
 	return news, nil
 }
 
+// omit drops the hosts that a whole list does not name, and returns them by number.
+func (g *Group) omit(fresh []*Host) (gone []thymebend.ServerID) {
+	named := make(map[thymebend.ServerID]bool, len(fresh))
+	for _, h := range fresh {
+		named[h.ID] = true
+	}
+	for id := range g.hosts {
+		if !named[id] {
+			gone = append(gone, id)
+			delete(g.hosts, id)
+		}
+	}
+	slices.Sort(gone) // maps are walked in no order; the same news must have the same effects
+	return gone
+}
+
+// departures has those hosts of the group leave that some entries say drain or are removed, and returns the news of it.
+func (g *Group) departures(entries []entry) (news News) {
+	states := make(map[thymebend.ServerID]thymebend.State)
+	for i := range entries {
+		id := Identity(entries[i].Host)
+		if state, known := stateOf(entries[i].Health); known && g.hosts[id] != nil {
+			states[id] = state
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(states)) {
+		if states[id] == thymebend.Ready {
+			continue
+		}
+		h := *g.hosts[id]
+		h.State = states[id]
+		if g.hosts[id] = &h; h.State == thymebend.Gone {
+			delete(g.hosts, id)
+		}
+		news.Changed = append(news.Changed, id)
+		news.Entries = append(news.Entries, h.Server)
+	}
+	return news
+}
+
+// readAll reads the entries of an object. Of a whole list it returns one for each host.
+func (g *Group) readAll(doc *document) ([]*Host, error) {
+	fresh := make([]*Host, 0, len(doc.Hosts))
+	places := make(map[thymebend.ServerID]int)
+	for i := range doc.Hosts {
+		h, err := g.read(&doc.Hosts[i])
+		if err != nil {
+			return nil, err
+		}
+		if !doc.Whole {
+			fresh = append(fresh, h)
+			continue
+		}
+		at, twice := places[h.ID]
+		switch {
+		case !twice:
+			places[h.ID] = len(fresh)
+			fresh = append(fresh, h)
+		case fresh[at].State == thymebend.Ready:
+			fresh[at] = h
+		}
+	}
+	return fresh, nil
+}
+
+// stateOf reads what an entry says of its host's health.
+func stateOf(health string) (state thymebend.State, known bool) {
+	switch health {
+	case "up":
+		return thymebend.Ready, true
+	case "draining":
+		return thymebend.Draining, true
+	case "removed":
+		return thymebend.Gone, true
+	}
+	return 0, false
+}
+
 func (g *Group) read(e *entry) (*Host, error) {
 	if e.Host == "" {
 		return nil, fmt.Errorf("host list: an entry without host")
 	}
 	h := &Host{Name: e.Host, Share: 1, Server: thymebend.Server{ID: Identity(e.Host), Zone: g.zone(e.Site), Cell: e.Block,
 		Born: time.Duration(math.Round(e.Born*1000)) * time.Microsecond}}
-	switch e.Health {
-	case "up":
-		h.State = thymebend.Ready
-	case "draining":
-		h.State = thymebend.Draining
-	case "removed":
-		h.State = thymebend.Gone
-		return h, nil
-	default:
+	var known bool
+	if h.State, known = stateOf(e.Health); !known {
 		return nil, fmt.Errorf("host list: %s has unknown health %q", e.Host, e.Health)
 	}
+	if h.State == thymebend.Gone {
+		return h, nil
+	}
 	if e.Share >= 1/mostShare && e.Share <= mostShare {
 		h.Share = e.Share
 	}
--- /dev/null
+++ b/internal/hostgroup/list_test.go
@@ -0,0 +1,157 @@
+package hostgroup
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"thymebend"
+)
+
+// words is one object in discovery's form.
+func words(seq int, whole bool, entries ...string) []byte {
+	return fmt.Appendf(nil, `{"seq":%d,"whole":%v,"hosts":[%s]}`, seq, whole, strings.Join(entries, ","))
+}
+
+// host is one entry. An empty health leaves out all but the name.
+func host(name, health string, born int) string {
+	return fmt.Sprintf(`{"host":%q,"dial":"10.0.0.1:80","site":"a","class":"m","block":1,"health":%q,"share":1,"born_ms":%d}`, name, health, born)
+}
+
+// states names the hosts of a group with their states, for comparison.
+func states(g *Group) string {
+	var out []string
+	for _, name := range []string{"a", "b", "c"} {
+		if h := g.Find(Identity(name)); h != nil {
+			out = append(out, fmt.Sprintf("%s%d/%d", name, h.State, h.Born.Milliseconds()))
+		}
+	}
+	return strings.Join(out, " ")
+}
+
+// take applies an object that has to be taken.
+func take(t *testing.T, g *Group, raw []byte) News {
+	t.Helper()
+	news, err := g.Apply(raw)
+	if err != nil {
+		t.Fatalf("%s: %v", raw, err)
+	}
+	return news
+}
+
+// What one object says of a host more than once, or of another start of it than the one in force, is decided the same way by
+// the group and by the entries that the module gets.
+func TestContradictoryEntries(t *testing.T) {
+	for name, c := range map[string]struct {
+		whole   bool
+		entries []string
+		want    string
+	}{
+		"a delta's last entry holds, up":          {false, []string{host("a", "draining", 5), host("a", "up", 5)}, "a1/5 b1/5"},
+		"a delta's last entry holds, draining":    {false, []string{host("a", "up", 5), host("a", "draining", 5)}, "a2/5 b1/5"},
+		"a delta removes and starts anew":         {false, []string{host("a", "removed", 5), host("a", "up", 9)}, "a1/9 b1/5"},
+		"a delta starts anew and removes":         {false, []string{host("a", "up", 9), host("a", "removed", 5)}, "b1/5"},
+		"a whole list drains and has it up":       {true, []string{host("a", "draining", 5), host("a", "up", 5), host("b", "up", 5)}, "a2/5 b1/5"},
+		"a whole list has it up and drains":       {true, []string{host("a", "up", 5), host("b", "up", 5), host("a", "draining", 5)}, "a2/5 b1/5"},
+		"a whole list names two starts":           {true, []string{host("a", "up", 5), host("a", "up", 9)}, "a1/9"},
+		"removed, of an earlier start":            {false, []string{host("a", "removed", 2)}, "b1/5"},
+		"removed, of a later start":               {false, []string{host("a", "removed", 9)}, "b1/5"},
+		"removed, of no start that can be":        {false, []string{host("a", "removed", -1)}, "b1/5"},
+		"draining, of an earlier start":           {false, []string{host("a", "draining", 2)}, "a2/2 b1/5"},
+		"draining, of a later start":              {false, []string{host("a", "draining", 9)}, "a2/9 b1/5"},
+		"draining in a whole list, other start":   {true, []string{host("a", "draining", 2)}, "a2/2"},
+		"removed in a whole list, where nobody's": {true, []string{host("a", "removed", 5)}, ""},
+	} {
+		g := New([]string{"a"})
+		take(t, g, words(4, true, host("a", "up", 5), host("b", "up", 5)))
+		module := newModule(t)
+		module.List(time.Second, thymebend.ListFull, take(t, New([]string{"a"}), words(4, true, host("a", "up", 5), host("b", "up", 5))).Entries)
+		news := take(t, g, words(5, c.whole, c.entries...))
+		if got := states(g); got != c.want {
+			t.Errorf("%s: the group has %q, want %q", name, got, c.want)
+		}
+		kind := thymebend.ListDelta
+		if c.whole {
+			kind = thymebend.ListFull
+		}
+		module.List(2*time.Second, kind, news.Entries)
+		learned := make(map[thymebend.ServerID]time.Duration)
+		for _, s := range module.Learned(2 * time.Second).Servers {
+			learned[s.ID] = s.Born
+		}
+		if len(learned) != g.Len() {
+			t.Errorf("%s: the module has %d hosts, the group %d", name, len(learned), g.Len())
+		}
+		for _, h := range g.All() {
+			if learned[h.ID] != h.Born {
+				t.Errorf("%s: the module has %s from %v, the group from %v", name, h.Name, learned[h.ID], h.Born)
+			}
+		}
+	}
+}
+
+// A faulty object is an error and brings nothing new, but no host stays up of which it says that it leaves: discovery has
+// written that. The version stays, so that the next call brings what was passed over.
+func TestFaultyObjectStillTellsWhoLeaves(t *testing.T) {
+	leaving := host("a", "draining", 5) + "," + host("b", "removed", 5)
+	faulty := map[string]string{
+		"unknown health":   `{"host":"c","dial":"10.0.0.1:80","health":"resting"}`,
+		"no dial":          `{"host":"c","health":"up"}`,
+		"no name":          `{"dial":"10.0.0.1:80","health":"up"}`,
+		"a start below 0":  host("c", "up", -1),
+		"a start as text":  `{"host":"c","dial":"10.0.0.1:80","health":"up","born_ms":"now"}`,
+		"no object at all": `17`,
+	}
+	for name, entry := range faulty {
+		for _, whole := range []bool{false, true} {
+			for _, raw := range [][]byte{words(5, whole, leaving, entry), words(5, whole, entry, leaving)} {
+				g := New([]string{"a"})
+				take(t, g, words(4, true, host("a", "up", 5), host("b", "up", 5), host("c", "up", 5)))
+				news, err := g.Apply(raw)
+				if err == nil {
+					t.Fatalf("%s: %s was taken", name, raw)
+				}
+				if got := states(g); got != "a2/5 c1/5" || g.seq != 4 {
+					t.Errorf("%s, whole %v: the group has %q at version %d", name, whole, got, g.seq)
+				}
+				if len(news.Changed) != 2 || len(news.Entries) != 2 || news.Whole || news.Entries[0].State == thymebend.Ready ||
+					news.Entries[1].State == thymebend.Ready {
+					t.Errorf("%s: news %+v", name, news)
+				}
+			}
+		}
+	}
+	for name, raw := range map[string][]byte{
+		"cut short":               words(5, false, leaving)[:80],
+		"of hosts nobody has":     words(5, false, host("x", "draining", 5), `17`),
+		"which it has up at last": words(5, false, host("a", "draining", 5), host("a", "up", 5), `17`),
+	} {
+		g := New([]string{"a"})
+		take(t, g, words(4, true, host("a", "up", 5), host("b", "up", 5)))
+		if news, err := g.Apply(raw); err == nil || states(g) != "a1/5 b1/5" || len(news.Changed)+len(news.Entries) > 0 {
+			t.Errorf("%s: %v, news %+v, the group has %q", name, err, news, states(g))
+		}
+	}
+}
+
+// Changes of an earlier version than the one in force are an older state of some hosts, from a second watch or a discovery that
+// is behind: none comes up by them, and those that leave leave. The lines that follow them are taken, whether the numbers go on
+// from there or began anew. An earlier whole list is complete, and is taken.
+func TestVersionThatGoesBack(t *testing.T) {
+	g := New([]string{"a"})
+	take(t, g, words(9, true, host("a", "draining", 5), host("b", "up", 5)))
+	news := take(t, g, words(7, false, host("a", "up", 5), host("b", "draining", 5), host("c", "up", 5)))
+	if got := states(g); got != "a2/5 b2/5" || len(news.Entries) != 1 || g.seq != 7 {
+		t.Errorf("the group has %q at version %d, news %+v", got, g.seq, news)
+	}
+	take(t, g, words(8, false, host("c", "up", 9)))
+	take(t, g, words(8, false, host("b", "up", 9))) // once more: some lists repeat a version
+	if got := states(g); got != "a2/5 b1/9 c1/9" {
+		t.Errorf("after the lines that follow the group has %q", got)
+	}
+	take(t, g, words(3, true, host("c", "up", 9)))
+	if got := states(g); got != "c1/9" || g.seq != 3 {
+		t.Errorf("after an earlier whole list the group has %q at version %d", got, g.seq)
+	}
+}
--- /dev/null
+++ b/internal/hostgroup/size_test.go
@@ -0,0 +1,164 @@
+package hostgroup
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"thymebend"
+)
+
+// quiet takes what the module asks for and does nothing.
+type quiet struct{}
+
+func (quiet) Send(thymebend.RequestID, thymebend.ServerID, time.Duration) {}
+func (quiet) Refuse(thymebend.RequestID, time.Duration)                   {}
+func (quiet) Fail(thymebend.RequestID)                                    {}
+func (quiet) Cancel(thymebend.RequestID, int)                             {}
+func (quiet) Wake(time.Duration, uint32)                                  {}
+func (quiet) Close(thymebend.ServerID)                                    {}
+func (quiet) Watch()                                                      {}
+func (quiet) Log(string)                                                  {}
+
+func newModule(tb testing.TB) *thymebend.Balancer {
+	tb.Helper()
+	b, err := thymebend.New(thymebend.Config{Gateways: 1, MaxAttempts: 2, ColdFrom: 1, FallMultiple: 1, OverShareWorth: 1, WholeWeight: 1,
+		Classes: []thymebend.Class{{Name: "c", Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}}}, 1, time.Second, quiet{})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return b
+}
+
+// list is a whole list of so many hosts, each named by its number and so many more.
+func list(seq, hosts, from int, health string) []byte {
+	entries := make([]string, hosts)
+	for i := range entries {
+		entries[i] = host(fmt.Sprintf("s-%08x", from+i), health, 5)
+	}
+	return words(seq, true, entries...)
+}
+
+// A whole list of any size that is aimed at is taken in one object, indented or not, and work for it grows with its length
+// alone: what an entry allocates is counted, which no busy machine changes.
+func TestLongListsAreTakenWhole(t *testing.T) {
+	perHost := func(hosts int) float64 {
+		first, second := list(1, hosts, 0, "up"), list(2, hosts, hosts/2, "up")
+		g := New([]string{"a"})
+		return testing.AllocsPerRun(1, func() {
+			for _, raw := range [][]byte{first, second} {
+				if news := take(t, g, raw); g.Len() != hosts || len(news.Entries) != hosts {
+					t.Fatalf("%d hosts of %d", g.Len(), hosts)
+				}
+			}
+		}) / float64(hosts)
+	}
+	small := perHost(100)
+	for _, hosts := range []int{1024, 8000} {
+		if large := perHost(hosts); large > 1.25*small {
+			t.Errorf("%.1f allocations a host with %d hosts, %.1f with 100", large, hosts, small)
+		}
+		w := NewWatch(1, netip.AddrPort{})
+		raw := indented(list(1, hosts, 0, "up"))
+		lines := feedWatch(t, w, raw)
+		if len(lines) != 1 || len(lines[0]) != len(raw) {
+			t.Fatalf("%d hosts, indented in %d bytes: %d objects", hosts, len(raw), len(lines))
+		}
+		if take(t, New([]string{"a"}), lines[0]); w.scanned != 0 {
+			t.Errorf("%d bytes are left", w.scanned)
+		}
+	}
+}
+
+// An object beyond the bound is an error that names the bound. What came of it is not applied.
+func TestObjectBeyondTheBound(t *testing.T) {
+	w := NewWatch(1, netip.AddrPort{})
+	if _, _, err := w.Feed([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	piece := strings.Repeat(host("a", "draining", 5)+",", 400)
+	if _, _, err := w.Feed([]byte("1\r\n{\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	for came := 1; ; came += len(piece) {
+		lines, _, err := w.Feed(fmt.Appendf(nil, "%x\r\n%s\r\n", len(piece), piece))
+		if len(lines) > 0 || came > 2*mostPending {
+			t.Fatalf("%d objects after %d bytes", len(lines), came)
+		}
+		if err != nil {
+			if came+len(piece) <= mostPending || !strings.Contains(err.Error(), fmt.Sprint(mostPending)) {
+				t.Errorf("after %d bytes: %v", came, err)
+			}
+			return
+		}
+	}
+}
+
+// indented words an object on many lines.
+func indented(raw []byte) []byte {
+	text := strings.NewReplacer(`[{`, "[\n  {\n", `},{`, "\n  },\n  {\n", `,"`, ",\n    \"", `}]`, "\n  }\n]").Replace(string(raw))
+	return []byte(text)
+}
+
+// feedWatch brings an object to a watch in pieces as sockets give them.
+func feedWatch(t *testing.T, w *Watch, raw []byte) (lines [][]byte) {
+	t.Helper()
+	stream := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\n\r\n", len(raw)+1, raw)
+	for len(stream) > 0 {
+		n := min(len(stream), 64<<10)
+		out, ended, err := w.Feed(stream[:n])
+		if err != nil || ended {
+			t.Fatal(err)
+		}
+		for _, l := range out {
+			if len(l) > 0 {
+				lines = append(lines, l)
+			}
+		}
+		stream = stream[n:]
+	}
+	return lines
+}
+
+// BenchmarkApply is a whole list of which each second host is another than before.
+func BenchmarkApply(b *testing.B) {
+	for _, hosts := range []int{10, 100, 1000, 7700} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			lists := [][]byte{list(1, hosts, 0, "up"), list(2, hosts, hosts/2, "up")}
+			g, n := New([]string{"a"}), 0
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := g.Apply(lists[n%2]); err != nil {
+					b.Fatal(err)
+				}
+				n++
+			}
+		})
+	}
+}
+
+// BenchmarkModuleList gives such lists to the decision module.
+func BenchmarkModuleList(b *testing.B) {
+	for _, hosts := range []int{10, 100, 1000, 7700} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			g := New([]string{"a"})
+			var news [2][]thymebend.Server
+			for i := range news {
+				got, err := g.Apply(list(i+1, hosts, i*hosts/2, "up"))
+				if err != nil {
+					b.Fatal(err)
+				}
+				news[i] = got.Entries
+			}
+			module, n := newModule(b), 0
+			b.ReportAllocs()
+			for b.Loop() {
+				module.List(time.Second, thymebend.ListFull, news[n%2])
+				module.Dispatch(time.Second)
+				n++
+			}
+		})
+	}
+}
--- a/internal/lab/mutants/main.go
+++ b/internal/lab/mutants/main.go
@@ -46,7 +46,7 @@
 			"		g.endExecution(x, EndClientGone, nil)\n	}\n	g.forget(q)\n", "		g.endExecution(x, EndClientGone, nil)\n	}\n"),
 		{"keep what a full list leaves out", "discovery-lies", []edit{
 			{"internal/hostgroup/list.go", "	if doc.Whole {", "	if false {"},
-			{"internal/hostgroup/list.go", "News{Whole: doc.Whole}", "News{}"}}},
+			{"internal/hostgroup/list.go", "News{Whole: doc.Whole, ", "News{"}}},
 		one("refuse a bid that may have run", "bad-hosts", "balancer.go", "	if b.mayRefuse(r) {", "	if true {"),
 		one("ignore the cold budget", "cold-return", "balancer.go", " && b.coldRoom(s)\n", "\n"),
 		one("lose queries at SIGTERM", "restart-surge", "internal/gateway/stop.go",
--- a/internal/lab/virtual/hunt_test.go
+++ b/internal/lab/virtual/hunt_test.go
@@ -19,7 +19,7 @@
 		"gateway.stop":         "sets a flag on each",
 		"servers.Oldest":       "keeps the first by number",
 		"servers.ConnectingTo": "sorts what it found",
-		"hostgroup.Apply":      "sorts what it found",
+		"hostgroup.omit":       "sorts what it found",
 		"settings.flatten":     "fills a map by path",
 		"signals.Doubted":      "fills a set",
 		"turns.Forget":         "deletes from the map that it walks",
