Begin no attempt that waited for its connection while its host left or started anew

Cause, by reading and by a test of the reducer alone: an attempt that waits for its connection is written when that comes up, with no look at the list (serverEvent, loop.Connected). Only hostsLeft ended it before, which (1) is not called for a faulty object and (2) left alone what connects to a host that is up by the new entry, though it has started anew or has moved: what was decided for the warm start went to the cold one beyond its budget, or to an address that is somebody else's by now. (3) hostsLeft walked all links once for each changed host.

Change: Connected looks at the list as begin does (takesNew), hostsLeft ends what connects to any changed host, and walks the links once. The attempt ends as never run and may be sent elsewhere.

TestNothingGoesToAHostThatLeft plays ten ways of telling against eight places of a request; four of its cases and TestAttemptsToAnotherStartDoNotBegin fail with the old fromservers.go (the drain beside a faulty entry, and in a faulty whole list, told while an attempt waits for its connection, with a body held and one in pieces).

--- a/internal/gateway/fromservers.go
+++ b/internal/gateway/fromservers.go
@@ -12,8 +12,7 @@
 
 // begin writes an execution on an idle link to its host, or opens one.
 func (g *Gateway) begin(x *execution) {
-	host := g.group.Find(x.host)
-	if host == nil || host.State != thymebend.Ready {
+	if !g.takesNew(x.host) {
 		g.endExecution(x, EndHostLeft, nil)
 		return
 	}
@@ -35,7 +34,7 @@
 	g.bind(x, l)
 	notUp := g.now + g.cfg.Settings.Gateway.ConnectTimeout
 	g.setTimer(timerExecution, x.id, min(x.until, notUp))
-	g.ask(loop.Effect{Op: loop.Dial, Conn: l.Conn, Addr: host.Dial})
+	g.ask(loop.Effect{Op: loop.Dial, Conn: l.Conn, Addr: g.group.Find(x.host).Dial})
 }
 
 func (g *Gateway) bind(x *execution, l *servers.Link) {
@@ -63,6 +62,10 @@
 	case loop.Readable:
 		g.ask(loop.Effect{Op: loop.Read, Conn: l.Conn})
 	case loop.Connected:
+		if !g.takesNew(x.host) {
+			g.endExecution(x, EndHostLeft, nil)
+			return
+		}
 		if !g.module.MayBegin(g.now, x.query.id, x.number) {
 			g.endExecution(x, EndWindow, nil)
 			return
@@ -156,8 +159,7 @@
 }
 
 func (g *Gateway) mayRest(l *servers.Link) bool {
-	h := g.group.Find(l.Host)
-	return h != nil && h.State == thymebend.Ready && !g.stopping && !g.pool.Over()
+	return g.takesNew(l.Host) && !g.stopping && !g.pool.Over()
 }
 
 func (g *Gateway) rest(l *servers.Link) {
@@ -214,22 +216,31 @@
 	}
 }
 
-// hostsLeft closes the idle links to hosts that drain, are gone or have started anew, and ends the executions
-// that still connect to one that takes nothing new: not a byte may go there after the gateway has been told.
+// hostsLeft closes the idle links to hosts that drain, are gone, have moved or have started anew, and ends the executions that
+// still connect to one: not a byte may go to a host after the gateway has been told that it leaves, and what was decided for
+// one start of a host must not reach the next, which is cold.
 func (g *Gateway) hostsLeft(changed []thymebend.ServerID) {
+	if len(changed) == 0 {
+		return
+	}
+	left := make(map[thymebend.ServerID]bool, len(changed))
 	for _, id := range changed {
+		left[id] = true
 		for _, l := range g.pool.IdleTo(id) {
 			g.dropLink(l, EndHostLeft)
 		}
-		if h := g.group.Find(id); h != nil && h.State == thymebend.Ready {
-			continue
-		}
-		for _, l := range g.pool.ConnectingTo(id) {
-			if x := g.byLink[l.Conn]; x != nil {
-				g.endExecution(x, EndHostLeft, nil)
-			}
+	}
+	for _, l := range g.pool.ConnectingTo(left) {
+		if x := g.byLink[l.Conn]; x != nil {
+			g.endExecution(x, EndHostLeft, nil)
 		}
 	}
 }
 
+// takesNew reports whether the list in force has a host as up.
+func (g *Gateway) takesNew(id thymebend.ServerID) bool {
+	h := g.group.Find(id)
+	return h != nil && h.State == thymebend.Ready
+}
+
 func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
--- a/internal/lab/mutants/main.go
+++ b/internal/lab/mutants/main.go
@@ -35,7 +35,7 @@
 		{"forget the drain check", "drain-retry", []edit{
 			{"balancer.go", "return s.State == Ready && b.now >= s.restUntil", "return b.now >= s.restUntil"},
 			{"balancer.go", "		if s.State != Ready || usable >= part && s.ejected", "		if usable >= part && s.ejected"},
-			{"internal/gateway/fromservers.go", "if host == nil || host.State != thymebend.Ready {", "if host == nil {"}}},
+			{"internal/gateway/fromservers.go", "return h != nil && h.State == thymebend.Ready", "return h != nil"}}},
 		one("take an end after the flush as unsent", "bad-hosts", "internal/gateway/fromservers.go",
 			"		g.endExecution(x, EndCut, nil)", "		g.endExecution(x, EndUnsent, nil)"),
 		one("reuse a link with bytes left over", "bad-hosts", "internal/servers/pool.go",
--- a/internal/servers/pool.go
+++ b/internal/servers/pool.go
@@ -172,11 +172,11 @@
 // IdleTo returns the idle links to a host, oldest first.
 func (p *Pool) IdleTo(host thymebend.ServerID) []*Link { return append([]*Link(nil), p.idle[host]...) }
 
-// ConnectingTo returns the links to a host that are not up yet, oldest first.
-func (p *Pool) ConnectingTo(host thymebend.ServerID) []*Link {
+// ConnectingTo returns the links to any of some hosts that are not up yet, oldest first. It walks all links once.
+func (p *Pool) ConnectingTo(hosts map[thymebend.ServerID]bool) []*Link {
 	var found []*Link
 	for _, l := range p.links {
-		if l.Host == host && l.Phase == Connecting {
+		if l.Phase == Connecting && hosts[l.Host] {
 			found = append(found, l)
 		}
 	}
