Pass over an elder's list that is older than the newcomer's own

Cause, by reading: a newcomer calls discovery with the version of the list in its configuration (Group.Request), and may then inherit an elder's list of an earlier version (inherit applied any whole list while the watch had not answered). The answer brings what changed since the later version; what changed between the two, a drain among it, is never told, and the elder's list has such a host up.

Change: an elder's list that is older than the one in force is passed over (Group.Older, as with an agent's).

TestAnEldersOlderListIsPassedOver fails without it (2 hosts, want 1).

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -136,13 +136,7 @@
 // inherit takes what the elder knows. Its list gives way to what discovery has told this process meanwhile.
 func (g *Gateway) inherit(m handover.Message) {
 	if len(m.List) > 0 && (g.watch == nil || !g.watch.Started()) {
-		news, err := g.group.Apply(m.List)
-		if err != nil {
-			g.log.Error().Err(err).Msg("the elder's list is not usable")
-		} else {
-			g.hostsLeft(news.Changed)
-			g.module.List(g.now, thymebend.ListCached, news.Entries)
-		}
+		g.inheritList(m.List)
 	}
 	if m.Learned != nil {
 		g.module.Learn(g.now, *m.Learned)
@@ -153,6 +147,21 @@
 	g.resize()
 }
 
+// inheritList takes the elder's list unless it is older than this process's own: the call under way asks for what changed
+// since that, and what changed before it would never be told.
+func (g *Gateway) inheritList(list []byte) {
+	if older, err := g.group.Older(list); err == nil && older {
+		return
+	}
+	news, err := g.group.Apply(list)
+	if err != nil {
+		g.log.Error().Err(err).Msg("the elder's list is not usable")
+		return
+	}
+	g.hostsLeft(news.Changed)
+	g.module.List(g.now, thymebend.ListCached, news.Entries)
+}
+
 // loseElder ends what is between this process and its elder: the elder has gone, or cannot hand over.
 func (g *Gateway) loseElder(why string) {
 	g.log.Info().Str("why", why).Bool("taking_clients", g.listening).Msg("no elder process")
--- /dev/null
+++ b/internal/gateway/handover_test.go
@@ -0,0 +1,39 @@
+package gateway
+
+import "testing"
+
+// A newcomer's call to discovery asks for what changed since its own list. An elder's list that is older must not take that
+// one's place: what changed between the two would never be told.
+func TestAnEldersOlderListIsPassedOver(t *testing.T) {
+	for seq, want := range map[int]int{8: 1, 9: 2, 10: 2} {
+		r := newRig(t, "subscribe", object(9, true, entry(1, "up", 0)))
+		r.g.inherit(stateMessage(object(seq, true, entry(1, "up", 0), entry(2, "up", 0))))
+		if r.g.group.Len() != want {
+			t.Errorf("an elder's list of version %d: %d hosts, want %d", seq, r.g.group.Len(), want)
+		}
+	}
+}
+
+// An elder hands over what it knows of 8,000 hosts.
+func TestLongListsAreHandedOver(t *testing.T) {
+	for _, hosts := range []int{1024, 8000} {
+		entries := make([]string, hosts)
+		for i := range entries {
+			entries[i] = entry(i+1, "up", 1_700_000_000_000)
+		}
+		r := newRig(t, "subscribe", object(1, true, entries...))
+		learned := r.g.module.Learned(r.now)
+		m := stateMessage(string(r.g.group.Words()))
+		m.Learned = &learned
+		words, err := m.Words()
+		if err != nil {
+			t.Fatalf("%d hosts: %v", hosts, err)
+		}
+		t.Logf("%d hosts: %d bytes", hosts, len(words))
+		next := newRig(t, "subscribe", `{"seq":0,"whole":true,"hosts":[]}`)
+		next.g.inherit(m)
+		if next.g.group.Len() != hosts {
+			t.Errorf("the newcomer has %d hosts of %d", next.g.group.Len(), hosts)
+		}
+	}
+}
