Divide up to 10,000 hosts, and order the spares of a gateway in linear time

Cause: shares.MostHosts was 2,000, below the 8,000 hosts that lists are sized for: with more every look at the fleet failed, and the division stayed as it was (logged, both sizes named). Keeper.Spares looked through all hosts in use for each host.

Change: the bound is 10,000; spares are found in the hosts in use, which are in order, by binary search.

--- a/internal/shares/keeper.go
+++ b/internal/shares/keeper.go
@@ -1,6 +1,7 @@
 package shares
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -122,7 +123,7 @@
 	out := make([]uint64, 0, len(all)-len(k.uses))
 	for _, p := range all {
 		id := k.hosts[p.host].ID
-		if !slices.ContainsFunc(k.uses, func(u Use) bool { return u.Host == id }) {
+		if _, uses := slices.BinarySearchFunc(k.uses, id, func(u Use, id uint64) int { return cmp.Compare(u.Host, id) }); !uses {
 			out = append(out, id)
 		}
 	}
--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -15,7 +15,7 @@
 // Bounds of what can be divided, and how.
 const (
 	MostGateways = 2000
-	MostHosts    = 2000
+	MostHosts    = 10_000
 	step         = 1.25 // demand is rounded to powers of it
 	rounds       = 12   // of fitting
 	leastWeight  = 1e-9
