Find the owners of a cold host's turns without sorting all gateways

Change: it keeps the best so many while it goes through the names. TestOwnersAreTheBestOfAll holds it to what sorting all gives (it passes with the old code too: the owners are the same).

--- a/internal/turns/owners.go
+++ b/internal/turns/owners.go
@@ -79,22 +79,33 @@
 	return 0
 }
 
-// divide takes the gateways that score best for a host, with equal parts.
+// scored is a gateway with its score for a host; the least is best.
+type scored struct {
+	name  string
+	score uint64
+}
+
+func compareScored(a, b scored) int {
+	return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.name, b.name))
+}
+
+// divide takes the gateways that score best for a host, with equal parts. It keeps only so many at a time: hundreds of hosts
+// may start at once in a fleet of a thousand, and to sort all names for each takes seconds.
 func divide(host uint64, names []string, most int) []Part {
-	type scored struct {
-		name  string
-		score uint64
-	}
-	list := make([]scored, 0, len(names))
+	best := make([]scored, 0, most+1)
 	for _, name := range names {
-		list = append(list, scored{name, xxh3.HashStringSeed(name, host)})
+		s := scored{name, xxh3.HashStringSeed(name, host)}
+		if len(best) == most && compareScored(s, best[most-1]) > 0 {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(best, s, compareScored)
+		best = slices.Insert(best, at, s)
+		best = best[:min(len(best), most)]
 	}
-	slices.SortFunc(list, func(a, b scored) int { return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.name, b.name)) })
-	list = list[:min(len(list), most)]
-	slices.SortFunc(list, func(a, b scored) int { return cmp.Compare(a.name, b.name) })
-	out := make([]Part, len(list))
-	for i, u := range list {
-		out[i] = Part{Name: u.name, Share: 1 / float64(len(list))}
+	slices.SortFunc(best, func(a, b scored) int { return cmp.Compare(a.name, b.name) })
+	out := make([]Part, len(best))
+	for i, u := range best {
+		out[i] = Part{Name: u.name, Share: 1 / float64(len(best))}
 	}
 	return out
 }
--- a/internal/turns/owners_test.go
+++ b/internal/turns/owners_test.go
@@ -1,9 +1,13 @@
 package turns
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
+
+	"github.com/zeebo/xxh3"
 )
 
 func users(n int) (out []string) {
@@ -73,3 +77,38 @@
 		t.Error("a host is remembered that is not cold")
 	}
 }
+
+// The owners of a host are those that score best for it among all names, in a fleet of any size.
+func TestOwnersAreTheBestOfAll(t *testing.T) {
+	for _, n := range []int{0, 1, 11, 12, 13, 300, 1024} {
+		names := users(n)
+		for host := range uint64(20) {
+			all := slices.SortedFunc(slices.Values(names), func(a, b string) int {
+				return cmp.Compare(xxh3.HashStringSeed(a, host), xxh3.HashStringSeed(b, host))
+			})
+			want := slices.Sorted(slices.Values(all[:min(n, 12)]))
+			var got []string
+			for _, p := range divide(host, names, 12) {
+				got = append(got, p.Name)
+			}
+			if !slices.Equal(got, want) {
+				t.Fatalf("%d gateways: the owners are %v, want %v", n, got, want)
+			}
+		}
+	}
+}
+
+// BenchmarkOwners finds the owners of cold hosts in a fleet of 1,024 gateways.
+func BenchmarkOwners(b *testing.B) {
+	names := users(1024)
+	for _, hosts := range []int{10, 100, 1000, 7700} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				for host := range uint64(hosts) {
+					divide(host, names, 12)
+				}
+			}
+		})
+	}
+}
