Let an elder hand over 8,000 hosts with long names and all that is learnt of them

Cause: a hand-over message was bounded by 4 MiB. What an elder knows of 8,000 hosts takes 2.6 MB at its start, and 4.7 MB with names of 150 bytes and every figure learnt (TestLongListsAreHandedOver); beyond the bound nothing is handed over, with a logged error.

Change: the bound is 16 MiB. The test fails with 4 MiB. TestTooMuchToHandOver: beyond the bound the size is logged, and the elder goes on alone.

--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -1,6 +1,12 @@
 package gateway
 
-import "testing"
+import (
+	"math"
+	"strings"
+	"testing"
+
+	"thymebend/internal/handover"
+)
 
 // A newcomer's call to discovery asks for what changed since its own list. An elder's list that is older must not take that
 // one's place: what changed between the two would never be told.
@@ -14,15 +20,22 @@
 	}
 }
 
-// An elder hands over what it knows of 8,000 hosts.
+// An elder hands over what it knows of 8,000 hosts, also where names are as long as those of virtual machines are and all that
+// there is to learn of a host is learnt.
 func TestLongListsAreHandedOver(t *testing.T) {
 	for _, hosts := range []int{1024, 8000} {
 		entries := make([]string, hosts)
 		for i := range entries {
-			entries[i] = entry(i+1, "up", 1_700_000_000_000)
+			long := strings.Repeat("instance-", 16) + "s-"
+			entries[i] = strings.Replace(entry(i+1, "up", 1_700_000_000_000), "s-", long, 1)
 		}
 		r := newRig(t, "subscribe", object(1, true, entries...))
 		learned := r.g.module.Learned(r.now)
+		for i := range learned.Servers {
+			s := &learned.Servers[i]
+			s.Limit, s.Gain, s.BaseMS, s.ServiceMS, s.FailShare, s.ColdTokens = math.Pi, math.Pi, math.Pi, math.Pi, 1/math.Pi, -math.Pi
+			s.Answers, s.Ejections, s.TrialIn = 1<<40, 1<<20, 1<<40
+		}
 		m := stateMessage(string(r.g.group.Words()))
 		m.Learned = &learned
 		words, err := m.Words()
@@ -37,3 +50,14 @@
 		}
 	}
 }
+
+// What is too long to be handed over is logged with its size, and the elder goes on alone.
+func TestTooMuchToHandOver(t *testing.T) {
+	r := newRig(t, "subscribe", object(1, true, entry(1, "up", 0)))
+	r.g.heir = &handover.Link{Conn: 5}
+	m := stateMessage(`"` + strings.Repeat("x", 17<<20) + `"`)
+	r.g.say(r.g.heir, m, nil)
+	if r.g.heir != nil || !strings.Contains(r.log.String(), "a hand-over message of 17") {
+		t.Errorf("the log is %.300s", r.log.String())
+	}
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -26,8 +26,8 @@
 	TakeWithin = 3 * time.Second
 	// Batch is the most client links passed at once.
 	Batch = 64
-	// most bounds a message, in bytes.
-	most = 4 << 20
+	// most bounds a message, in bytes: of a list of 8,000 hosts with long names and all that is learnt of them, 4.7 MB.
+	most = 16 << 20
 )
 
 // Kind says what a message is.
