--- a/internal/fleetfile/fleetfile_test.go
+++ b/internal/fleetfile/fleetfile_test.go
@@ -1,9 +1,12 @@
 package fleetfile
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
+
+	"thymebend/internal/members"
 )
 
 func TestFaultsNameLineAndColumn(t *testing.T) {
@@ -46,3 +49,23 @@
 		}
 	}
 }
+
+// A book of 1,024 gateways is read. One that is longer than a view may be is refused with its size.
+func TestLongBooks(t *testing.T) {
+	book := func(peers int) []byte {
+		text := "fleet = \"f\"\nlisten = \"127.0.0.1:7946\"\n"
+		for n := range peers {
+			text += fmt.Sprintf("[[peer]]\nname = \"gw-%d\"\naddr = \"10.2.%d.%d:7946\"\n", n, n/250, n%250+1)
+		}
+		return []byte(text)
+	}
+	for _, peers := range []int{1024, members.MostMembers} {
+		if f, err := Parse("x.toml", book(peers), "me"); err != nil || len(f.Book) != peers {
+			t.Errorf("%d peers: %v", peers, err)
+		}
+	}
+	if _, err := Parse("x.toml", book(members.MostMembers+1), "me"); err == nil ||
+		!strings.Contains(err.Error(), fmt.Sprintf("%d peers, %d at most", members.MostMembers+1, members.MostMembers)) {
+		t.Errorf("a peer too many: %v", err)
+	}
+}
