Measure decisions over 10 to 7,700 hosts, and hold them to no allocations at 8,000

In steady state nothing is allocated at 1,024 nor at 8,000 hosts; the benchmark's few allocations are each host's first request.

--- a/bench_test.go
+++ b/bench_test.go
@@ -1,6 +1,7 @@
 package thymebend
 
 import (
+	"strconv"
 	"testing"
 	"time"
 )
@@ -21,8 +22,8 @@
 func (s *silent) Watch()                                          {}
 func (s *silent) Log(string)                                      {}
 
-// steadyRequest returns a function that plays one request from arrival to answer, with a sample now and then.
-func steadyRequest(tb testing.TB) func() {
+// steadyRequest returns a function that plays one request from arrival to answer over so many hosts, with a sample now and then.
+func steadyRequest(tb testing.TB, hosts int) func() {
 	out := &silent{}
 	now := time.Second
 	b, err := New(testConfig(), 1, now, out)
@@ -30,7 +31,7 @@
 		tb.Fatal(err)
 	}
 	var list []Server
-	for id := range ServerID(16) {
+	for id := range ServerID(hosts) {
 		list = append(list, ready(id+1, int(id%2), 0))
 	}
 	b.List(now, ListFull, list)
@@ -55,7 +56,7 @@
 
 // One deployment grants a gateway 15 ms of CPU a second: in steady state a request allocates nothing.
 func TestSteadyStateAllocatesNothing(t *testing.T) {
-	play := steadyRequest(t)
+	play := steadyRequest(t, 16)
 	for range 1000 {
 		play()
 	}
@@ -64,8 +65,34 @@
 	}
 }
 
+// Nor does it with as many hosts as lists are sized for.
+func TestSteadyStateOfManyHostsAllocatesNothing(t *testing.T) {
+	for _, hosts := range []int{1024, 8000} {
+		play := steadyRequest(t, hosts)
+		for range 50 {
+			play()
+		}
+		if n := testing.AllocsPerRun(100, play); n > 0 {
+			t.Errorf("%d hosts: %v allocations a request, want none", hosts, n)
+		}
+	}
+}
+
+// BenchmarkRequestOverHosts shows what a decision costs where one gateway uses all hosts, a fifth of a sample included.
+func BenchmarkRequestOverHosts(b *testing.B) {
+	for _, hosts := range []int{10, 100, 1000, 7700} {
+		b.Run(strconv.Itoa(hosts), func(b *testing.B) {
+			play := steadyRequest(b, hosts)
+			b.ReportAllocs()
+			for b.Loop() {
+				play()
+			}
+		})
+	}
+}
+
 func BenchmarkRequest(b *testing.B) {
-	play := steadyRequest(b)
+	play := steadyRequest(b, 16)
 	b.ReportAllocs()
 	for b.Loop() {
 		play()
