Tell discovery's line in the next turn however many other sockets are ready

Cause, shown by a test on real sockets: epoll tells of 256 ready sockets at once, and urgent ones go first among these alone.

Change: where a turn's events are as many as are told at once, the urgent connections (discovery, operators, the next process) are peeked at before the others are told (Loop.lookBehind). Otherwise, and while idle, nothing is added.

Rejected: a larger batch, which only moves the bound and makes turns longer; a second epoll, polled each turn, a system call more for every turn of every process.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 
 	"golang.org/x/sys/unix"
 )
@@ -46,6 +47,7 @@
 	reload   os.Signal
 	byConn   map[Conn]*socket
 	byFD     map[int]*socket
+	urgent   []*socket // those of byConn that are, oldest first: a few
 	accepted Conn
 	gen      int32
 	timers   timers
@@ -142,6 +144,9 @@
 					l.drain(r)
 				}
 			}
+			if urgent && n == len(l.ready) {
+				l.lookBehind(r)
+			}
 		}
 		for now := l.clock.Now(); ; {
 			key, due := l.timers.due(now)
@@ -157,6 +162,17 @@
 	return l.failed
 }
 
+// lookBehind tells what has come on urgent sockets where more are ready than epoll tells of at once: discovery's lines and
+// operators' calls must not wait for turns of a crowd.
+func (l *Loop) lookBehind(r Reducer) {
+	for _, s := range slices.Clone(l.urgent) {
+		if l.byConn[s.conn] == s && s.talks() && !quiet(s.fd) {
+			l.tell(Event{Kind: Readable, Conn: s.conn})
+			l.drain(r)
+		}
+	}
+}
+
 // tell queues an event. Effects never call the reducer: what they bring about is told after them.
 func (l *Loop) tell(e Event) { l.queue = append(l.queue, e) }
 
--- a/internal/loop/sockets.go
+++ b/internal/loop/sockets.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"net/netip"
+	"slices"
 
 	"golang.org/x/sys/unix"
 )
@@ -30,6 +31,9 @@
 	l.gen++
 	s.gen = l.gen
 	l.byConn[s.conn], l.byFD[s.fd] = s, s
+	if s.urgent {
+		l.urgent = append(l.urgent, s)
+	}
 	s.armed = s.wanted()
 	event := unix.EpollEvent{Events: s.armed, Fd: int32(s.fd), Pad: s.gen}
 	if err := unix.EpollCtl(l.epoll, unix.EPOLL_CTL_ADD, s.fd, &event); err != nil {
@@ -56,6 +60,11 @@
 	}
 }
 
+// talks reports whether the socket is a connection that is up and read.
+func (s *socket) talks() bool {
+	return !s.connecting && !s.muted && !s.datagrams && s.conn != Listener && s.conn != Control && s.conn != Handover
+}
+
 func (l *Loop) arm(s *socket) {
 	want := s.wanted()
 	if want == s.armed {
@@ -71,6 +80,7 @@
 func (l *Loop) remove(s *socket) {
 	delete(l.byConn, s.conn)
 	delete(l.byFD, s.fd)
+	l.urgent = slices.DeleteFunc(l.urgent, func(other *socket) bool { return other == s })
 	if s.shared {
 		// Another process has the socket too: epoll would go on telling of it after this descriptor is closed, and
 		// refuse its number to the next socket.
