--- a/internal/gateway/told_test.go
+++ b/internal/gateway/told_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -208,3 +209,41 @@
 		})
 	}
 }
+
+// BenchmarkReducerTakesAList is a whole list from its bytes to the module, each second host another than before, and what stays
+// in memory of it.
+func BenchmarkReducerTakesAList(b *testing.B) {
+	for _, hosts := range []int{10, 100, 1000, 7700} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			var texts [2]string
+			for i := range texts {
+				entries := make([]string, hosts)
+				for n := range entries {
+					entries[n] = entry(1+n+i*hosts/2, "up", 0)
+				}
+				texts[i] = object(i+1, true, entries...)
+			}
+			r := newRig(b, "subscribe", `{"seq":0,"whole":true,"hosts":[]}`)
+			w, n := r.watch(), 0
+			before := heapInUse()
+			r.line(w, texts[1])
+			r.turn()
+			kept := heapInUse() - before
+			b.ReportAllocs()
+			for b.Loop() {
+				r.line(w, texts[n%2])
+				r.turn()
+				n++
+			}
+			b.ReportMetric(float64(kept)/float64(hosts), "kept-B/host")
+		})
+	}
+}
+
+// heapInUse is what the program holds once what is not needed is collected.
+func heapInUse() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
