Tell a list that is longer than one buffer whole before the turn's dispatch

Cause, shown by a test on real sockets: a turn read 64 KiB of the watch, so that a list of 8,000 hosts (1 MB) took 16 turns, with a dispatch on the list before between any two. The list counts as told when it is written.

Change: after a full buffer on an urgent connection the rest is read in the same turn, as the end of a connection is (Event more).

TestALongListIsToldInOneTurn fails without it (65,536 of 132,072 bytes in the first turn) and passes 5 runs of 5, and with -race.

--- a/internal/loop/crowd_test.go
+++ b/internal/loop/crowd_test.go
@@ -3,8 +3,11 @@
 import (
 	"net"
 	"net/netip"
+	"runtime"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // A line of discovery's that comes behind a crowd of ready sockets, more than epoll tells of at once, is told first in the next
@@ -74,3 +77,60 @@
 		t.Errorf("a line was told after %d turns, behind %d ready sockets", worst, crowd)
 	}
 }
+
+// What has come on an urgent connection is told whole before the turn ends, though it is more than one buffer holds.
+func TestALongListIsToldInOneTurn(t *testing.T) {
+	const length = 2*readSize + 1000
+	far, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	l, err := New(NewClock())
+	if err != nil {
+		t.Fatal(err)
+	}
+	came := 0
+	err = l.Run(stepper(func(_ time.Duration, e Event) []Effect {
+		switch e.Kind {
+		case Start:
+			return []Effect{{Op: Dial, Conn: 1, Addr: netip.MustParseAddrPort(far.Addr().String()), Urgent: true}}
+		case Connected:
+			c, err := far.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { c.Close() })
+			fd := l.byConn[1].fd
+			if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, 4*length); err != nil {
+				t.Fatal(err)
+			}
+			go func() { _, _ = c.Write(make([]byte, length)) }() // a short write shows as bytes that never come
+			began := l.clock.Now()
+			for waits := 0; waits < length; {
+				if l.clock.Now()-began > 10*time.Second {
+					t.Fatalf("%d of %d bytes fit into the socket", waits, length)
+				}
+				if waits, err = unix.IoctlGetInt(fd, unix.TIOCINQ); err != nil {
+					t.Fatal(err)
+				}
+				runtime.Gosched()
+			}
+		case Readable:
+			return []Effect{{Op: Read, Conn: e.Conn}}
+		case Data:
+			came += len(e.Data)
+		case Turn:
+			if came > 0 {
+				return []Effect{{Op: Exit}}
+			}
+		}
+		return nil
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if came != length {
+		t.Errorf("%d of %d bytes were told in the first turn", came, length)
+	}
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -194,8 +194,8 @@
 	l.queue = l.queue[:0]
 }
 
-// readOn turns the news that an end lies behind what was read into what the reducer is told of it: an end is told in the
-// round in which it is known, so that nothing is dispatched meanwhile for one who has left.
+// readOn turns the news that something lies behind what was read into what the reducer is told of it: an end is told in the
+// round in which it is known, so that nothing is dispatched meanwhile for one who has left, or against the rest of a list.
 func (l *Loop) readOn(e *Event) bool {
 	s := l.byConn[e.Conn]
 	switch {
--- a/internal/loop/sockets.go
+++ b/internal/loop/sockets.go
@@ -152,7 +152,8 @@
 	l.tell(Event{Kind: Connected, Conn: s.conn})
 }
 
-// read tells one buffer of what has come. The next Readable brings the rest. Where data of another socket is
+// read tells one buffer of what has come. The next Readable brings the rest; on an urgent socket that comes at once, so that
+// a long list is told whole before the turn's dispatch. Where data of another socket is
 // not yet told, it needs a buffer of its own, or the one would be told with the bytes of the other.
 func (l *Loop) read(s *socket) {
 	if s.datagrams {
@@ -179,7 +180,7 @@
 	default:
 		l.bufInUse = true
 		l.tell(Event{Kind: Data, Conn: s.conn, Data: buf[:n], Passed: passed})
-		if s.ending {
+		if s.ending || s.urgent && n == len(buf) {
 			l.tell(Event{Kind: more, Conn: s.conn})
 		}
 	}
--- a/internal/loop/types.go
+++ b/internal/loop/types.go
@@ -52,7 +52,7 @@
 	Reload // the program is told to read its configuration anew
 	File
 	Turn // all that was ready has been told
-	more // of this package alone: the end of what comes is known to lie behind what was just read
+	more // of this package alone: the end of what comes, or more of what is urgent, is known to lie behind what was just read
 )
 
 // Event is one thing that happened. Data is valid only while the reducer handles it.
