Heed an agent's word that a host leaves, also under older numbers

Change: from such a line those hosts leave that it says drain or are removed in the start that is in force (Group.Leave); nothing comes up by it, and the version stays. An agent that has merely forgotten and tells old news of a host that has come back since names an earlier start, and changes nothing. What a whole list leaves out is still not heeded for that time.

TestAnOlderAgentsDrainsAreHeeded fails without it in three of its five cases.

--- a/internal/gateway/pushed.go
+++ b/internal/gateway/pushed.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"thymebend"
 	"thymebend/internal/hostgroup"
 )
 
@@ -31,7 +32,7 @@
 }
 
 // tooOld looks at a line of the agent for one that is older than what this gateway has: such a line would bring back
-// hosts that are known to drain or to be gone, so it is passed over. It reports whether the numbers are taken to have
+// hosts that are known to drain or to be gone, so only those leave by it that have not started anew since. It reports whether the numbers are taken to have
 // begun anew instead: then the watch has ended, and the whole list is asked for.
 func (g *Gateway) tooOld(w *hostgroup.Watch, line []byte) bool {
 	if !g.pushed() {
@@ -48,6 +49,7 @@
 			g.log.Warn().Stringer("discovery", w.Addr).Msg("the agent has an older list, passed over")
 			g.olderSince = g.now
 		}
+		g.takeDepartures(g.group.Leave(line))
 	}
 	if g.olderSince == 0 || g.now-g.olderSince < olderFor {
 		return false
@@ -58,3 +60,12 @@
 	g.watchEnds(w, EndListReplace, nil)
 	return true
 }
+
+// takeDepartures has hosts leave of which a line says so that is not taken otherwise: what the agent has counts as told.
+func (g *Gateway) takeDepartures(news hostgroup.News) {
+	if len(news.Entries) > 0 {
+		g.hostsLeft(news.Changed)
+		g.told = true
+		g.module.List(g.now, thymebend.ListDelta, news.Entries)
+	}
+}
--- a/internal/gateway/told_test.go
+++ b/internal/gateway/told_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"thymebend"
+	"thymebend/internal/hostgroup"
 	"thymebend/internal/loop"
 )
 
@@ -132,6 +134,36 @@
 	}
 }
 
+// What an agent has counts as told, also where its numbers are lower than this gateway's: a host leaves by such a line, unless it
+// has started anew since, and none comes up by it.
+func TestAnOlderAgentsDrainsAreHeeded(t *testing.T) {
+	for name, c := range map[string]struct {
+		line string
+		sent bool
+	}{
+		"drains":                      {object(3, false, entry(1, "draining", 7)), false},
+		"removed":                     {object(3, false, entry(1, "removed", 7)), false},
+		"drains in a whole list":      {object(3, true, entry(1, "draining", 7)), false},
+		"drained in the start before": {object(3, false, entry(1, "draining", 5)), true},
+		"left out":                    {object(3, true), true},
+	} {
+		r := newRig(t, "automatic", object(9, true, entry(1, "up", 7), entry(2, "draining", 0)))
+		w := r.watch()
+		r.request(0, 0)
+		r.turn()
+		host := r.connecting(hostAddr(1))
+		r.line(w, c.line)
+		r.line(w, object(4, false, entry(2, "up", 0)))
+		r.connected(host)
+		if sent := r.requests(hostAddr(1)) > 0; sent != c.sent || r.closed[w] {
+			t.Errorf("%s: sent %v, want %v", name, sent, c.sent)
+		}
+		if h := r.g.group.Find(hostgroup.Identity("s-2")); h.State != thymebend.Draining {
+			t.Errorf("%s: an older line brings a host up", name)
+		}
+	}
+}
+
 // A garbled object ends the watch, and the module asks again within half a second, so that what was passed over is not lost.
 func TestAGarbledListIsAskedForAnew(t *testing.T) {
 	r := newRig(t, "subscribe", object(1, true, entry(1, "up", 0)))
--- a/internal/hostgroup/list.go
+++ b/internal/hostgroup/list.go
@@ -168,6 +168,19 @@
 	return gone
 }
 
+// Leave takes from an object that is not believed otherwise, for it is older than the list in force, which hosts drain or are
+// removed in the start that the list has. It returns the news of it; the version stays.
+func (g *Group) Leave(raw []byte) News {
+	var doc document
+	if err := json.Unmarshal(raw, &doc); err != nil {
+		return News{}
+	}
+	return g.departures(slices.DeleteFunc(doc.Hosts, func(e entry) bool {
+		h := g.hosts[Identity(e.Host)]
+		return h == nil || h.Born != e.born()
+	}))
+}
+
 // departures has those hosts of the group leave that some entries say drain or are removed, and returns the news of it.
 func (g *Group) departures(entries []entry) (news News) {
 	states := make(map[thymebend.ServerID]thymebend.State)
@@ -230,12 +243,17 @@
 	return 0, false
 }
 
+// born is when the host last started.
+func (e *entry) born() time.Duration {
+	return time.Duration(math.Round(e.Born*1000)) * time.Microsecond
+}
+
 func (g *Group) read(e *entry) (*Host, error) {
 	if e.Host == "" {
 		return nil, fmt.Errorf("host list: an entry without host")
 	}
-	h := &Host{Name: e.Host, Share: 1, Server: thymebend.Server{ID: Identity(e.Host), Zone: g.zone(e.Site), Cell: e.Block,
-		Born: time.Duration(math.Round(e.Born*1000)) * time.Microsecond}}
+	h := &Host{Name: e.Host, Share: 1,
+		Server: thymebend.Server{ID: Identity(e.Host), Zone: g.zone(e.Site), Cell: e.Block, Born: e.born()}}
 	var known bool
 	if h.State, known = stateOf(e.Health); !known {
 		return nil, fmt.Errorf("host list: %s has unknown health %q", e.Host, e.Health)
