--- a/internal/lab/mutants/main.go
+++ b/internal/lab/mutants/main.go
@@ -35,7 +35,7 @@
 		{"forget the drain check", "drain-retry", []edit{
 			{"balancer.go", "return s.State == Ready && b.now >= s.restUntil", "return b.now >= s.restUntil"},
 			{"balancer.go", "		if s.State != Ready || usable >= part && s.ejected", "		if usable >= part && s.ejected"},
-			{"internal/gateway/fromservers.go", "if host == nil || host.State != thymebend.Ready {", "if host == nil {"}}},
+			{"internal/gateway/fromservers.go", "return h != nil && h.State == thymebend.Ready", "return h != nil"}}},
 		one("take an end after the flush as unsent", "bad-hosts", "internal/gateway/fromservers.go",
 			"		g.endExecution(x, EndCut, nil)", "		g.endExecution(x, EndUnsent, nil)"),
 		one("reuse a link with bytes left over", "bad-hosts", "internal/servers/pool.go",
@@ -46,7 +46,7 @@
 			"		g.endExecution(x, EndClientGone, nil)\n	}\n	g.forget(q)\n", "		g.endExecution(x, EndClientGone, nil)\n	}\n"),
 		{"keep what a full list leaves out", "discovery-lies", []edit{
 			{"internal/hostgroup/list.go", "	if doc.Whole {", "	if false {"},
-			{"internal/hostgroup/list.go", "News{Whole: doc.Whole}", "News{}"}}},
+			{"internal/hostgroup/list.go", "News{Whole: doc.Whole, ", "News{"}}},
 		one("refuse a bid that may have run", "bad-hosts", "balancer.go", "	if b.mayRefuse(r) {", "	if true {"),
 		one("ignore the cold budget", "cold-return", "balancer.go", " && b.coldRoom(s)\n", "\n"),
 		one("lose queries at SIGTERM", "restart-surge", "internal/gateway/stop.go",
