Give the new process of an upgrade what the old one needs no more, and end links where clients wait

Ruled out: a reset, a slow host (the host answered what it got), the module's queue.

Change: an old process keeps one link to hosts for each of its client links and spareLinks more, and closes other idle ones; holds tells what may be taken; handed-over links come off the hosts' part. No new constant.

--- a/internal/clients/links.go
+++ b/internal/clients/links.go
@@ -79,8 +79,8 @@
 func (s *Links) GivesWay(now time.Duration) *Link {
 	quiet := func(q *queue, since time.Duration) bool { return q.head != nil && now-q.head.heard >= since }
 	switch {
-	case s.parted.head != nil && now-s.parted.head.Since >= SpeaksWithin:
-		return s.parted.head
+	case s.Parted(now) != nil:
+		return s.Parted(now)
 	case quiet(&s.fresh, FirstSoon):
 		return s.fresh.head
 	case quiet(&s.looked, RestsFor):
@@ -101,6 +101,14 @@
 	return nil
 }
 
+// Parted returns a link that has its last answer and whose client has had time to take it, or nil.
+func (s *Links) Parted(now time.Duration) *Link {
+	if l := s.parted.head; l != nil && now-l.Since >= SpeaksWithin {
+		return l
+	}
+	return nil
+}
+
 // Spent returns a link that brought one query and has rested since, where there are many links, or nil. Guards against
 // clients that open a link for each query and keep all: where they may hold so many and no more, they have none left
 // for their next query long before links run short here.
--- a/internal/gateway/fromclients.go
+++ b/internal/gateway/fromclients.go
@@ -40,7 +40,7 @@
 // accept takes what may come of those that wait. What there is no room for waits on, unread.
 func (g *Gateway) accept() {
 	room := g.links.Most - len(g.links.ByConn)
-	if room <= 0 && g.alone() { // else one of two processes is about to have more room, and no link is closed for that
+	if room <= 0 {
 		room = g.makeRoom(acceptRoom)
 	}
 	if room <= 0 {
@@ -73,7 +73,7 @@
 func (g *Gateway) makeRoom(wanted int) int {
 	room := g.links.Most - len(g.links.ByConn)
 	for ; room < wanted; room++ {
-		l := g.links.GivesWay(g.now)
+		l := g.givesWay()
 		switch {
 		case l == nil:
 			return room
@@ -90,6 +90,19 @@
 	return room
 }
 
+// givesWay returns the client link that gives way first, or nil. While there are two processes only those do that have
+// their last answer: see alone.
+func (g *Gateway) givesWay() *clients.Link {
+	if g.alone() {
+		return g.links.GivesWay(g.now)
+	}
+	return g.links.Parted(g.now)
+}
+
+// linksAwaited reports whether clients wait at the listener for links while none at rest may be closed for them: there
+// are two processes. Links then end with their answers, so that nobody waits longer than answers take.
+func (g *Gateway) linksAwaited() bool { return g.paused && !g.alone() && !g.heirTakes }
+
 func (g *Gateway) clientCame(c loop.Conn) {
 	g.links.Add(c, g.now)
 	for range spentAtOnce {
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -202,9 +202,6 @@
 		learned := g.module.Learned(g.now)
 		g.heirGiven = true
 		g.resize()
-		for oldest := g.pool.Oldest(); oldest != nil && g.pool.Over(); oldest = g.pool.Oldest() {
-			g.dropLink(oldest, EndLinkIdle) // their descriptors are the newcomer's: it needs some from its start on
-		}
 		state := handover.Message{Kind: handover.State, List: g.group.Words(), Learned: &learned, Holds: g.holds()}
 		if g.fleet.view != nil {
 			state.FleetStart, state.FleetIncarnation = g.fleet.view.Identity()
@@ -297,25 +294,22 @@
 // could stay: what is gained would be lost to clients who come back in the middle of the upgrade.
 func (g *Gateway) alone() bool { return g.heir == nil && g.elder == nil }
 
-// holds is how many descriptors of the limit this process and its elder need.
+// holds is how many descriptors of the limit this process and its elder need: those in use, and those that it may still
+// take without the other process hearing of it.
 func (g *Gateway) holds() int {
-	return ownSockets + len(g.links.ByConn) + g.pool.Most() + g.elderHolds
+	return ownSockets + max(len(g.links.ByConn), g.links.Most) + g.pool.Most() + g.elderHolds
 }
 
 // resize divides the limits between the processes that serve: a newcomer that does not yet take clients has half, an
 // elder whose heir does may not grow.
 func (g *Gateway) resize() {
-	sockets := g.cfg.Limits.Sockets - g.elderHolds
-	if g.heir != nil {
-		sockets /= 2
-	}
-	sockets = max(sockets-ownSockets, 2*spareLinks)
-	inbound := int(float64(sockets) * clientShare)
-	g.links.Most, g.links.Many = inbound, g.cfg.Limits.Sockets/manyShare
-	g.pool.Resize(sockets - inbound)
 	if g.heirTakes {
-		g.links.Most = len(g.links.ByConn)
-		g.pool.Resize(min(sockets-inbound, g.pool.Len()+spareLinks))
+		g.shrink()
+	} else {
+		g.share()
+	}
+	if !g.alone() {
+		g.closeSurplus()
 	}
 	heap := g.cfg.Limits.MemoryMB * heapShare * (1 << 20)
 	if !g.alone() {
@@ -326,3 +320,35 @@
 		g.ask(loop.Effect{Op: loop.Heap, Bytes: g.heap})
 	}
 }
+
+// share divides what the other process leaves between clients and hosts. Client links that were handed over count
+// though they are more than the clients' part: the hosts' part is less by them.
+func (g *Gateway) share() {
+	sockets := g.cfg.Limits.Sockets - g.elderHolds
+	if g.heir != nil {
+		sockets /= 2
+	}
+	sockets = max(sockets-ownSockets, 2*spareLinks)
+	inbound := int(float64(sockets) * clientShare)
+	g.links.Most, g.links.Many = inbound, g.cfg.Limits.Sockets/manyShare
+	outbound := sockets - inbound
+	if g.elder != nil {
+		outbound = max(spareLinks, sockets-max(inbound, len(g.links.ByConn)))
+	}
+	g.pool.Resize(outbound)
+}
+
+// shrink leaves this process what its client links need. Each has at most one query, which needs one link to a host; all
+// else is the heir's, which has clients that wait.
+func (g *Gateway) shrink() {
+	held := len(g.links.ByConn)
+	g.links.Most = held
+	g.pool.Resize(min(g.pool.Budget(), held+spareLinks))
+}
+
+// closeSurplus closes the idle links to hosts beyond the budget: their descriptors are the other process's.
+func (g *Gateway) closeSurplus() {
+	for _, l := range g.pool.Surplus() {
+		g.dropLink(l, EndLinkIdle)
+	}
+}
--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -114,11 +114,13 @@
 }
 
 // keep reports whether a link stays open after the answer that is worded now. One whose body has not ended must not:
-// where its next request begins is not known. What still comes of the body is read and dropped.
+// where its next request begins is not known. What still comes of the body is read and dropped. Nor does one for whose
+// descriptor clients wait.
 func (g *Gateway) keep(l *clients.Link) bool {
 	if l.Upload {
 		l.Upload, l.Closing, l.Drop = false, true, true
 		g.unmute(l)
 	}
+	l.Closing = l.Closing || g.linksAwaited()
 	return !l.Closing
 }
--- /dev/null
+++ b/internal/lab/virtual/upgrade_test.go
@@ -0,0 +1,39 @@
+package virtual
+
+import "testing"
+
+// upgradedAtItsLimit is a day on which clients hold all links that a gateway may have. It is upgraded, hosts that hang
+// keep the old process from its end, and clients come on new links while others go on using theirs.
+func upgradedAtItsLimit() Plan {
+	const opened, upgraded, ended = 1000, 2000, 4000
+	p := Plan{Seed: 1, Profile: "upgrade", Gateways: 1, Hosts: 60, Sockets: 256, LatencyUS: 200, CostUS: 10}
+	for host := range 10 {
+		p.Faults = append(p.Faults, Fault{AtMS: upgraded - 100, Do: "host-hang", Who: host, ForMS: 4000})
+	}
+	p.Faults = append(p.Faults, Fault{AtMS: upgraded, Do: "gateway-upgrade", Who: 0, ForMS: 500})
+	const held = 120
+	for n := range held { // each link carries two requests, so that it counts as one that goes on being used
+		p.Requests = append(p.Requests, Request{AtMS: opened + n/2, Patient: 2000, Fresh: true})
+	}
+	for n := range held {
+		p.Requests = append(p.Requests, Request{AtMS: opened + 70 + n/2, Patient: 2000})
+	}
+	for n := range 30 { // unsafe ones that a hanging host has are not sent to another
+		p.Requests = append(p.Requests, Request{AtMS: upgraded - 40 + n, Patient: 2400, Unsafe: true})
+	}
+	for at := upgraded; at < ended; at += 10 {
+		p.Requests = append(p.Requests, Request{AtMS: at, Patient: 2000})
+		if at%50 == 0 {
+			p.Requests = append(p.Requests, Request{AtMS: at, Patient: 1200, Fresh: true})
+		}
+	}
+	return p
+}
+
+// Those that come on new links are answered in their time, and no link at rest is closed for them.
+func TestUpgradeAtTheLimitOfLinksAnswersThoseWhoWait(t *testing.T) {
+	o := holds(t, upgradedAtItsLimit())
+	if o.Served < o.Tries*9/10 {
+		t.Errorf("%d of %d served", o.Served, o.Tries)
+	}
+}
--- a/internal/servers/pool.go
+++ b/internal/servers/pool.go
@@ -102,6 +102,9 @@
 // Resize changes how many links there may be. Those that are too many go as they end, or give way.
 func (p *Pool) Resize(most int) { p.most = most }
 
+// Budget is how many links there may be.
+func (p *Pool) Budget() int { return p.most }
+
 // Most is how many links there may be, or are.
 func (p *Pool) Most() int { return max(p.most, len(p.links)) }
 
@@ -197,6 +200,20 @@
 	return oldest
 }
 
+// Surplus returns the idle links that are to be closed for the pool to keep to its budget, those opened first first.
+func (p *Pool) Surplus() []*Link {
+	over := len(p.links) - p.most
+	if over <= 0 {
+		return nil
+	}
+	var idle []*Link
+	for _, links := range p.idle {
+		idle = append(idle, links...)
+	}
+	slices.SortFunc(idle, func(a, b *Link) int { return cmp.Compare(a.Conn, b.Conn) })
+	return idle[:min(over, len(idle))]
+}
+
 // AppendRequest words a client's request for a host: unchanged but for the fields of the connection and the
 // time that is left.
 func AppendRequest(dst []byte, m *http1.Message, left time.Duration) []byte {
--- /dev/null
+++ b/internal/servers/pool_test.go
@@ -0,0 +1,38 @@
+package servers
+
+import (
+	"testing"
+
+	"thymebend"
+)
+
+// What a smaller budget has no room for goes, oldest first, but never a link in use.
+func TestPoolSurplus(t *testing.T) {
+	pool := NewPool(6)
+	var links []*Link
+	for n := range 6 {
+		links = append(links, pool.Open(thymebend.ServerID(n%2)))
+	}
+	for _, n := range []int{3, 1, 4, 2} {
+		pool.Rest(links[n])
+	}
+	for _, c := range []struct {
+		budget int
+		want   []*Link
+	}{
+		{6, nil},
+		{4, []*Link{links[1], links[2]}},
+		{0, []*Link{links[1], links[2], links[3], links[4]}},
+	} {
+		pool.Resize(c.budget)
+		got := pool.Surplus()
+		if len(got) != len(c.want) {
+			t.Fatalf("budget %d: %d links are too many, want %d", c.budget, len(got), len(c.want))
+		}
+		for n := range got {
+			if got[n] != c.want[n] {
+				t.Errorf("budget %d: link %d goes in place %d, want link %d", c.budget, got[n].Conn, n, c.want[n].Conn)
+			}
+		}
+	}
+}
