Leave a link at rest open in an upgrade though its time limit was set before

Cause: a link that brought one query is given 0.1 s to rest where there are many, if the process is alone (flushed). The limit stays when an upgrade begins, and clientTimer asked only whether there are still many. Ruled out: a failed accept (no such line in the trace), Spent (asks alone).

Change: clientTimer sets the long limit where the process is not alone.

--- a/internal/gateway/fromclients.go
+++ b/internal/gateway/fromclients.go
@@ -332,8 +332,8 @@
 	case l.Pending():
 		l.Closing = true
 		g.reply(l, clients.TooSlow())
-	case l.Queries == 1 && !g.closed && !g.links.TooMany() && g.now < l.Since+clients.IdleAfter:
-		// There were many links when it came to rest; others were closed since, and few are no burden.
+	case l.Queries == 1 && !g.closed && !(g.links.TooMany() && g.alone()) && g.now < l.Since+clients.IdleAfter:
+		// There were many links when it came to rest. Others were closed since, and few are no burden; or an upgrade began.
 		g.setTimer(timerClient, uint64(c), l.Since+clients.IdleAfter)
 	default:
 		g.lookAndClose(l)
--- a/internal/lab/virtual/upgrade_test.go
+++ b/internal/lab/virtual/upgrade_test.go
@@ -1,6 +1,9 @@
 package virtual
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+)
 
 // upgradedAtItsLimit is a day on which clients hold all links that a gateway may have. It is upgraded, hosts that hang
 // keep the old process from its end, and clients come on new links while others go on using theirs.
@@ -37,3 +40,31 @@
 		t.Errorf("%d of %d served", o.Served, o.Tries)
 	}
 }
+
+// upgradedAmongNewLinks is a day on which every client comes on a new link and keeps it, so that links at rest are closed
+// for being many, and the gateway is upgraded again and again in the midst of that.
+func upgradedAmongNewLinks(seed uint64) Plan {
+	const begin, end = 1000, 9000
+	p := Plan{Seed: seed, Profile: "upgrade", Gateways: 1, Hosts: 60, Sockets: 256, LatencyUS: 200, CostUS: 30}
+	for at := begin; at < end; at += 4 {
+		for n := range 3 {
+			p.Requests = append(p.Requests, Request{AtMS: at + n, Patient: 2000, Fresh: true})
+		}
+	}
+	for at := begin + 500; at < end-500; at += 1200 {
+		p.Faults = append(p.Faults, Fault{AtMS: at, Do: "gateway-upgrade", Who: 0, ForMS: 500})
+	}
+	return p
+}
+
+// A time limit that a link at rest was given before an upgrade does not close it during one.
+func TestUpgradeClosesNoLinkWhoseTimeLimitIsOlder(t *testing.T) {
+	for _, seed := range []uint64{3, 5} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			o := holds(t, upgradedAmongNewLinks(seed))
+			if o.Served < o.Tries*8/10 {
+				t.Errorf("%d of %d served", o.Served, o.Tries)
+			}
+		})
+	}
+}
