Bound a call's wait for its turn at the emulated discovery, not its end

Cause: a call that begins its turn within the time-out is served, on the operators' discovery; the emulated one refused it if its work would end after the time-out, so that an answer never came later than that. It can come later by one call's work.

--- a/internal/lab/virtual/callqueue.go
+++ b/internal/lab/virtual/callqueue.go
@@ -12,8 +12,8 @@
 	LinesPerSecond float64 `json:"lines_per_second"`
 	CallLines      float64 `json:"call_lines"`
 	HostLines      float64 `json:"host_lines,omitempty"`
-	// TimeoutMS bounds a call: one that cannot be done by then is answered 503, at once with ShedAtOnce and otherwise when
-	// its turn or the time-out has come.
+	// TimeoutMS bounds the wait for a turn: a call whose turn does not begin by then is answered 503, when the time-out has
+	// come, or at once with ShedAtOnce.
 	TimeoutMS  int  `json:"timeout_ms"`
 	ShedAtOnce bool `json:"shed_at_once,omitempty"`
 	// EndWatches is the chance that a watch ends when the list changes, instead of telling.
@@ -56,12 +56,12 @@
 	begin := max(q.busy, now)
 	timeout := msec(q.TimeoutMS)
 	switch {
-	case begin+work-now <= timeout:
+	case begin-now <= timeout:
 		q.busy = begin + work
 		return q.busy, true
 	case q.ShedAtOnce:
 		return now, false
 	default:
-		return min(begin, now+timeout), false
+		return now + timeout, false
 	}
 }
