--- a/internal/lab/mutants/main.go
+++ b/internal/lab/mutants/main.go
@@ -69,6 +69,8 @@
 		one("send a body on whose first bytes are gone", "bulk", "internal/gateway/actions.go",
 			"Spent: q.up != nil && q.up.spent", "Spent: false"),
 		one("take half a large answer for whole", "bulk", "internal/gateway/relay.go", "		if !r.server.EndsByClose() {", "		if false {"),
+		one("give up a call in discovery's queue and call again", "discovery-load", "internal/hostgroup/watch.go",
+			"	case w.up:\n		return AnswerWithin\n", "	case w.up:\n		return 2700 * time.Millisecond\n"),
 		one("never watch the agent", "pushed", "internal/gateway/gateway.go", "		defer g.move()\n", ""),
 		one("call a lost agent no more", "pushed", "internal/gateway/fromlist.go",
 			"	case g.watch == nil && g.pushed():\n		g.setTimer(timerMove, 0, g.now+moveAgain)\n", "	case g.watch == nil && g.pushed():\n"),
