--- a/internal/fleetwire/fleetwire.go
+++ b/internal/fleetwire/fleetwire.go
@@ -52,6 +52,14 @@
 	lastState = Left
 )
 
+// String names a state as operators read it.
+func (s State) String() string {
+	if s > lastState {
+		return "unknown"
+	}
+	return [...]string{"alive", "suspect", "gone", "left"}[s]
+}
+
 // Claim is what is said of one process of one member.
 type Claim struct {
 	Name        string
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -158,8 +158,9 @@
 	out.Sent, out.SentBytes, out.Received, out.ReceivedBytes = c.Sent, c.SentBytes, c.Received, c.ReceivedBytes
 	out.Refused = map[string]uint64{"foreign": c.Foreign, "spoilt": c.Spoilt, "strange": c.Strange, "over_rate": c.Held, "over_size": c.Full}
 	for _, m := range v.Members() {
-		fm := operators.FleetMember{Name: m.Name, State: [...]string{"alive", "suspect", "gone", "left"}[m.State], Start: m.Start,
-			Incarnation: m.Incarnation, SinceMS: (g.now - m.Since).Milliseconds(), RTTMS: float64(m.RTT.Microseconds()) / 1000}
+		fm := operators.FleetMember{Name: m.Name, State: m.State.String(), Start: m.Start, Incarnation: m.Incarnation,
+			SinceMS: (g.now - m.Since).Milliseconds(), Previous: m.Previous.String(), SuspectedBy: m.SuspectedBy,
+			RTTMS: float64(m.RTT.Microseconds()) / 1000}
 		if m.Addr.IsValid() {
 			fm.Addr = m.Addr.String()
 		}
--- a/internal/lab/drill/rig.go
+++ b/internal/lab/drill/rig.go
@@ -320,7 +320,8 @@
 			if !ok {
 				l.Strange++
 			} else {
-				l.States[i] = views.Held{State: m.State, Start: m.Start, Incarnation: m.Incarnation, Since: at - time.Duration(m.SinceMS)*time.Millisecond}
+				l.States[i] = views.Held{State: m.State, Start: m.Start, Incarnation: m.Incarnation, Since: at - time.Duration(m.SinceMS)*time.Millisecond,
+					Previous: m.Previous, SuspectedBy: m.SuspectedBy}
 			}
 		}
 		l.Portion = portionOf(v.Portion)
--- a/internal/lab/views/history.go
+++ b/internal/lab/views/history.go
@@ -77,7 +77,9 @@
 	Start       uint64 `json:"start_ms"`
 	Incarnation uint64 `json:"incarnation"`
 	// Since is since when, on the record's clock: what was taken back between two looks shows in it.
-	Since time.Duration `json:"since_ns"`
+	Since       time.Duration `json:"since_ns"`
+	Previous    string        `json:"previous,omitempty"`     // the state before; empty where it is not told
+	SuspectedBy string        `json:"suspected_by,omitempty"` // who raised the last suspicion; empty where it is not told
 }
 
 // dead tells that a state is no living one.
--- a/internal/lab/views/rules_test.go
+++ b/internal/lab/views/rules_test.go
@@ -142,6 +142,31 @@
 			upgrade(h)
 			change(h, 1, 11*sec, 30*sec, func(l *Look) { l.States[2].Since = 10*sec + sec/2 })
 		}},
+		{"an upgrade is taken for a leave for a moment, and datagrams get lost", UpgradeSeen, func(h *History) {
+			lossy(h, 0, 0.1, 5*sec, 20*sec)
+			takenBack(h, "left", "")
+		}},
+		{"an upgraded gateway is suspected by one that hears it", UpgradeSeen, func(h *History) {
+			cut(h, []int{4}, []int{2}, 9*sec, true) // which did not raise the suspicion
+			takenBack(h, "suspect", "gateway-3")
+		}},
+		{"an upgraded gateway is suspected by one that cannot hear it", "", func(h *History) {
+			cut(h, []int{4}, []int{2}, 9*sec, true)
+			takenBack(h, "suspect", "gateway-4")
+		}},
+		{"an upgraded gateway is suspected by one that it cannot hear", "", func(h *History) {
+			h.Path(4, 2, PathAt{At: 9 * sec, Cut: true})
+			takenBack(h, "suspect", "")
+		}},
+		{"an upgraded gateway is suspected, and all hear it", UpgradeSeen, func(h *History) { takenBack(h, "suspect", "") }},
+		{"an upgraded gateway is gone for a moment, and one cannot hear it", UpgradeSeen, func(h *History) {
+			cut(h, []int{4}, []int{2}, 9*sec, true)
+			takenBack(h, "gone", "gateway-4")
+		}},
+		{"an upgraded gateway is suspected where datagrams get lost", "", func(h *History) {
+			lossy(h, 0, 0.1, 5*sec, 20*sec)
+			takenBack(h, "suspect", "gateway-3")
+		}},
 		{"an upgrade that nobody sees", "", upgrade},
 		{"one that was stopped throws another out when it wakes", ThrownOut, func(h *History) {
 			h.Halted(2, 8*sec, true)
@@ -208,6 +233,14 @@
 	}
 }
 
+// takenBack has a gateway hold the upgraded one for something else, raised by somebody, until a moment after the upgrade.
+func takenBack(h *History, state, by string) {
+	upgrade(h)
+	change(h, 1, 11*sec, 30*sec, func(l *Look) {
+		l.States[2].Since, l.States[2].Previous, l.States[2].SuspectedBy = 10*sec+sec/2, state, by
+	})
+}
+
 func upgrade(h *History) {
 	h.Started(2, 800, 10*sec, false, true)
 	h.Ended(102, 11*sec)
--- a/internal/lab/virtual/beliefs.go
+++ b/internal/lab/virtual/beliefs.go
@@ -145,7 +145,8 @@
 				if !ok {
 					l.Strange++
 				} else {
-					l.States[i] = views.Held{State: [...]string{"alive", "suspect", "gone", "left"}[o.State], Start: o.Start, Incarnation: o.Incarnation, Since: o.Since - epoch}
+					l.States[i] = views.Held{State: o.State.String(), Start: o.Start, Incarnation: o.Incarnation, Since: o.Since - epoch,
+						Previous: o.Previous.String(), SuspectedBy: o.SuspectedBy}
 				}
 			}
 			b.history.Looked(l)
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -96,8 +96,10 @@
 	State       fleetwire.State
 	Start       uint64 // ms of Unix time
 	Incarnation uint64
-	Since       time.Duration // in this state
-	Payload     []byte        // as it spreads it; not to be changed
+	Since       time.Duration   // in this state
+	Previous    fleetwire.State // before it; Left for one that was just entered
+	SuspectedBy string          // who raised the last suspicion, empty where that was not told
+	Payload     []byte          // as it spreads it; not to be changed
 	Addr        netip.AddrPort
 	RTT         time.Duration // smoothed; 0 while none was measured
 }
@@ -560,7 +562,7 @@
 		v.counts.Full++
 		return nil
 	}
-	m := &member{Member: Member{Name: c.Name, Start: c.Start, Since: v.now, State: fleetwire.Left}}
+	m := &member{Member: Member{Name: c.Name, Start: c.Start, Since: v.now, State: fleetwire.Left, Previous: fleetwire.Left}}
 	if at, ok := v.book[c.Name]; ok {
 		m.Addr = at
 	} else if v.cfg.Flat {
@@ -576,7 +578,7 @@
 func (v *View) set(m *member, c *fleetwire.Claim) {
 	moved := m.State != c.State || m.Start != c.Start
 	if moved {
-		m.Since = v.now
+		m.Since, m.Previous = v.now, m.State
 	}
 	m.State, m.Start, m.Incarnation = c.State, c.Start, c.Incarnation
 	if c.State == fleetwire.Alive {
@@ -587,7 +589,7 @@
 		v.suspects = slices.DeleteFunc(v.suspects, func(o *member) bool { return o == m })
 	}
 	if c.State == fleetwire.Suspect {
-		m.suspicion = &suspicion{since: v.now}
+		m.suspicion, m.SuspectedBy = &suspicion{since: v.now}, c.By
 		v.suspects = append(v.suspects, m)
 		v.confirm(m, c.By)
 		v.lookToo(m)
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -237,3 +237,17 @@
 		}
 	}
 }
+
+// Who raised a suspicion, and that there was one, is known after it was taken back.
+func TestASuspicionTakenBackIsKnown(t *testing.T) {
+	v := view(t, nil)
+	v.Hear(t0, addr(2), say("b", 900, fleetwire.Ping))
+	v.Hear(t0, addr(3), say("c", 900, fleetwire.Gossip, fleetwire.Claim{Name: "b", Start: 900, State: fleetwire.Suspect, By: "c"}))
+	if m, _ := state(v, "b"); m.State != fleetwire.Suspect || m.SuspectedBy != "c" || m.Previous != fleetwire.Alive {
+		t.Errorf("suspected: %+v", m)
+	}
+	v.Hear(t0, addr(2), say("b", 900, fleetwire.Gossip, fleetwire.Claim{Name: "b", Start: 900, Incarnation: 1}))
+	if m, _ := state(v, "b"); m.State != fleetwire.Alive || m.SuspectedBy != "c" || m.Previous != fleetwire.Suspect {
+		t.Errorf("refuted: %+v", m)
+	}
+}
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -137,7 +137,9 @@
 	State       string  `json:"state"`
 	Start       uint64  `json:"start_ms"` // Unix time
 	Incarnation uint64  `json:"incarnation"`
-	SinceMS     int64   `json:"since_ms"` // in this state
+	SinceMS     int64   `json:"since_ms"`               // in this state
+	Previous    string  `json:"previous"`               // state before it
+	SuspectedBy string  `json:"suspected_by,omitempty"` // who raised the last suspicion, where that was told
 	RTTMS       float64 `json:"rtt_ms"`
 	Addr        string  `json:"addr,omitempty"`
 }
