--- a/internal/lab/virtual/fleetrates.go
+++ b/internal/lab/virtual/fleetrates.go
@@ -32,21 +32,23 @@
 	callPatience = time.Second
 )
 
+// sumOf names a sum: a rule, and the host at which it holds.
+type sumOf struct{ rule, host string }
+
 // fleetRates counts over the second under way.
 type fleetRates struct {
-	w                    *world
-	second               time.Duration
-	sent, opened         map[string]int
-	strain               map[int]float64 // of each zone, the most in this second
-	broken               map[string]bool // rule and host, in this second
-	calls                int
-	mostSent, mostOpened int // over the run
-	mostCalls            int
+	w         *world
+	second    time.Duration
+	sums      map[sumOf]int
+	broken    map[sumOf]bool
+	strain    map[int]float64 // of each zone
+	most      map[string]int  // of each rule, over the run
+	calls     int
+	mostCalls int // over the run
 }
 
 func newFleetRates(w *world) *fleetRates {
-	return &fleetRates{w: w, sent: make(map[string]int), opened: make(map[string]int), strain: make(map[int]float64),
-		broken: make(map[string]bool)}
+	return &fleetRates{w: w, sums: make(map[sumOf]int), broken: make(map[sumOf]bool), strain: make(map[int]float64), most: make(map[string]int)}
 }
 
 // strained is how many times more gateways use a host of this zone than where half of the zone's hosts run and are listed as up:
@@ -69,46 +71,42 @@
 func (r *fleetRates) begin() {
 	if now := r.w.sim.Since(); now-r.second >= time.Second {
 		r.second = now - now%time.Second
-		clear(r.sent)
-		clear(r.opened)
-		clear(r.strain)
+		clear(r.sums)
 		clear(r.broken)
+		clear(r.strain)
 		r.calls = 0
 	}
 }
 
-func (r *fleetRates) send(h *host) {
-	if r == nil {
-		return
-	}
-	r.begin()
-	r.sent[h.name]++
-	r.mostSent = max(r.mostSent, r.sent[h.name])
-	r.hold(OverSent, h, r.sent[h.name], mostSends)
-}
+func (r *fleetRates) send(h *host) { r.count(OverSent, h, mostSends) }
+
+func (r *fleetRates) open(h *host) { r.count(OverOpened, h, mostOpened) }
 
-func (r *fleetRates) open(h *host) {
+// count adds one to a host's sum under a rule, and finds it over its bound once in a second.
+func (r *fleetRates) count(rule string, h *host, most int) {
 	if r == nil {
 		return
 	}
 	r.begin()
-	r.opened[h.name]++
-	r.mostOpened = max(r.mostOpened, r.opened[h.name])
-	r.hold(OverOpened, h, r.opened[h.name], mostOpened)
-}
-
-// hold finds a sum over its bound, once in a second. A zone that had few hosts left in this second may have more in all of it.
-func (r *fleetRates) hold(rule string, h *host, sum, most int) {
-	if sum <= most || r.broken[rule+h.name] {
+	sum := sumOf{rule, h.name}
+	r.sums[sum]++
+	r.most[rule] = max(r.most[rule], r.sums[sum])
+	if r.sums[sum] <= most || r.broken[sum] {
 		return
 	}
-	r.strain[h.zone()] = max(r.strain[h.zone()], r.w.strained(h.zone()))
-	if bound := float64(most) * r.strain[h.zone()]; float64(sum) > bound {
-		r.broken[rule+h.name] = true
+	if bound := float64(most) * r.strainOf(h.zone()); float64(r.sums[sum]) > bound {
+		r.broken[sum] = true
 		r.w.find(rule, h.name, "over %.0f in the second from %v", bound, r.second)
 	}
 }
 
+// strainOf is how strained a zone was at most in this second, as far as it was asked for: a zone that had few hosts left may have
+// more at each of them in all of it.
+func (r *fleetRates) strainOf(zone int) float64 {
+	r.strain[zone] = max(r.strain[zone], r.w.strained(zone))
+	return r.strain[zone]
+}
+
 // call counts a call at discovery. Each gateway may call twice in a second: once more after one that failed.
 func (r *fleetRates) call() {
 	if r == nil {
@@ -126,5 +124,5 @@
 	if r == nil {
 		return ""
 	}
-	return fmt.Sprintf("most in a second: %d sends and %d connections at one host, %d calls at discovery", r.mostSent, r.mostOpened, r.mostCalls)
+	return fmt.Sprintf("most in a second: %d sends and %d connections at one host, %d calls at discovery", r.most[OverSent], r.most[OverOpened], r.mostCalls)
 }
--- a/internal/lab/virtual/fleetrates_test.go
+++ b/internal/lab/virtual/fleetrates_test.go
@@ -75,13 +75,13 @@
 func TestBoundsOfAHostLastASecond(t *testing.T) {
 	w := twoZones(t)
 	h := w.lose(1, 3)
-	for range 2 * mostOpened {
+	for range 2*mostOpened - 1 {
 		w.rates.open(h)
 	}
 	for _, other := range w.hosts {
 		other.up = true
 	}
-	if w.rates.hold(OverOpened, h, 2*mostOpened, mostOpened); len(w.found) > 0 {
+	if w.rates.open(h); len(w.found) > 0 {
 		t.Errorf("%+v", w.found)
 	}
 	if w.rates.open(h); len(w.found) != 1 {
