--- a/internal/lab/virtual/discovery.go
+++ b/internal/lab/virtual/discovery.go
@@ -103,7 +103,7 @@
 	}
 	c.inbox, c.asked = rest, true
 	c.after, _ = strconv.Atoi(r.URL.Query().Get("index"))
-	d.w.tolls.call()
+	d.w.rates.call()
 	if d.queue == nil {
 		d.answer(c, true)
 		return
