Take whole lines beside a torn one, and place new hosts without looking at all places

Change: Feed returns the lines that came whole beside its error; those before a fault are applied, of those after it the departures are taken, so that the version in force never passes what was not applied. hunt_test.go names servers.Surplus, which sorts what it finds.

Result: two new ways of telling in TestNothingGoesToAHostThatLeft, 14 cases, fail without the change and hold with it.

--- a/balancer.go
+++ b/balancer.go
@@ -1149,16 +1149,16 @@
 	slices.SortFunc(fresh, func(x, y *server) int {
 		return cmp.Compare(x.ID, y.ID) // zones and cells mixed, so that one lost is no gateway's whole part
 	})
+	var from [2]int // before it all places are taken, of the others' zones and of the own
 	for _, s := range fresh {
-		places := &b.far
-		if s.Zone == b.cfg.Zone {
-			places = &b.own
+		own := index(s.Zone == b.cfg.Zone)
+		places, at := [2]*[]*server{&b.far, &b.own}[own], from[own]
+		for ; at < len(*places) && (*places)[at].State == Ready && (*places)[at].listed; at++ {
 		}
-		at := slices.IndexFunc(*places, func(t *server) bool { return t.State != Ready || !t.listed })
-		if at < 0 {
-			*places = append(*places, s)
-		} else {
+		if from[own] = at; at < len(*places) {
 			(*places)[at] = s
+		} else {
+			*places = append(*places, s)
 		}
 	}
 }
--- a/internal/gateway/fromlist.go
+++ b/internal/gateway/fromlist.go
@@ -100,48 +100,63 @@
 	}
 }
 
-// watchData applies whole lines. The first line answers the call even if it is a mere beat.
+// watchData applies whole lines. The first line answers the call even if it is a mere beat. Lines that came whole beside a fault
+// count as told: those before it are applied, and of those after it the departures.
 func (g *Gateway) watchData(w *hostgroup.Watch, data []byte) {
 	first := !w.Started()
-	lines, ended, err := w.Feed(data)
-	if err != nil {
-		g.watchEnds(w, EndListGarbled, err)
-		return
-	}
+	lines, ended, fault := w.Feed(data)
+	broken := false
 	for _, line := range lines {
+		if broken {
+			g.takeDepartures(g.group.Leave(line))
+			continue
+		}
 		if g.tooOld(w, line) {
 			return
 		}
 		if len(line) == 0 && !first {
 			continue
 		}
-		var news hostgroup.News
-		if len(line) > 0 && g.olderSince == 0 {
-			if news, err = g.group.Apply(line); err != nil {
-				g.watchEnds(w, EndListGarbled, err)
-				return
-			}
-		}
-		if first {
-			first = false
-			g.watchAnswered(w)
-		}
-		kind := thymebend.ListDelta
-		if news.Whole {
-			kind = thymebend.ListFull
-		}
-		g.hostsLeft(news.Changed)
-		if g.portion != nil {
-			g.portion.listed = true
+		if err := g.applyLine(w, line, first); err != nil {
+			fault, broken = err, true
+			continue
 		}
-		g.told = true
-		g.module.List(g.now, kind, news.Entries)
+		first = false
 	}
-	if ended {
+	switch {
+	case fault != nil:
+		g.watchEnds(w, EndListGarbled, fault)
+	case ended:
 		g.watchEnds(w, EndListLost, nil)
-		return
+	default:
+		g.setTimer(timerWatch, uint64(w.Conn), g.now+w.Patience())
 	}
-	g.setTimer(timerWatch, uint64(w.Conn), g.now+w.Patience())
+}
+
+// applyLine takes one line of a watch. Of a faulty object it takes who leaves.
+func (g *Gateway) applyLine(w *hostgroup.Watch, line []byte, first bool) error {
+	var news hostgroup.News
+	if len(line) > 0 && g.olderSince == 0 {
+		var err error
+		if news, err = g.group.Apply(line); err != nil {
+			g.takeDepartures(news)
+			return err
+		}
+	}
+	if first {
+		g.watchAnswered(w)
+	}
+	kind := thymebend.ListDelta
+	if news.Whole {
+		kind = thymebend.ListFull
+	}
+	g.hostsLeft(news.Changed)
+	if g.portion != nil {
+		g.portion.listed = true
+	}
+	g.told = true
+	g.module.List(g.now, kind, news.Entries)
+	return nil
 }
 
 // watchAnswered makes the call that is answered first the watch in force. A call to a new address goes on beside the old
--- a/internal/gateway/told_test.go
+++ b/internal/gateway/told_test.go
@@ -26,6 +26,8 @@
 		"beside a faulty entry":  object(2, false, entry(1, "draining", 0), entry(2, "resting", 0)),
 		"in an earlier version":  object(0, false, entry(1, "draining", 0)),
 		"in a faulty whole list": object(2, true, entry(1, "removed", 0), `{"host":"s-2"}`),
+		"before a torn line":     object(2, false, entry(1, "draining", 0)) + "\n" + `{"seq":3,` + "\n",
+		"after a faulty object":  `{"whole":false,"hosts":[]}` + "\n" + object(2, false, entry(1, "draining", 0)),
 	}
 	// Each place begins with host 1 alone and returns what goes on once it has left.
 	places := map[string]func(r *rig) func(){
--- a/internal/hostgroup/watch.go
+++ b/internal/hostgroup/watch.go
@@ -68,21 +68,22 @@
 
 // Feed takes what discovery wrote and returns the whole objects, each of one line or, where it is indented, of several. An
 // empty line is a beat; within an object it tells that the object was torn. ended tells that the
-// answer is over, which a watch's never is while all is well.
+// answer is over, which a watch's never is while all is well. Beside an error stand the lines that came whole before the fault.
 func (w *Watch) Feed(data []byte) (lines [][]byte, ended bool, err error) {
 	w.reader.Feed(data)
 	head, piece, done, fault := w.reader.Pieces()
 	if fault != nil {
-		return nil, false, fault
+		err = fault // what came before it is whole all the same
 	}
 	if head != nil && head.Status != 200 {
 		return nil, false, &Refusal{Status: head.Status, RetryAfter: retryAfter(head)}
 	}
 	w.pending = append(w.pending, piece...)
 	for w.scanned < len(w.pending) {
-		end, err := w.scan(w.pending[w.scanned])
-		if err != nil {
-			return nil, false, err
+		end, torn := w.scan(w.pending[w.scanned])
+		if torn != nil {
+			err = torn
+			break
 		}
 		w.scanned++
 		if end {
@@ -90,11 +91,11 @@
 			w.pending, w.scanned = w.pending[w.scanned:], 0
 		}
 	}
-	if len(w.pending) > mostPending {
-		return nil, false, fmt.Errorf("discovery wrote an object of over %d bytes", mostPending)
+	if err == nil && len(w.pending) > mostPending {
+		err = fmt.Errorf("discovery wrote an object of %d bytes so far, %d at most", len(w.pending), mostPending)
 	}
 	w.started = w.started || len(lines) > 0
-	return lines, done, nil
+	return lines, done, err
 }
 
 // scan looks at the next byte and reports whether it ends a beat or an object.
--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -74,14 +74,12 @@
 // Pieces returns the head of a streamed message once it is there, what has come of the body since the last call,
 // valid until the next call, and whether the body has ended. A message that Begin began is over with it.
 func (r *Reader) Pieces() (head *Head, piece []byte, done bool, fault *Fault) {
-	if fault := r.advance(); fault != nil {
-		return nil, nil, false, fault
-	}
-	head, piece, done = r.head, r.payload, r.head != nil && r.body.done
+	fault = r.advance()
+	head, piece, done = r.head, r.payload, fault == nil && r.head != nil && r.body.done
 	if r.payload = r.payload[:0]; done && r.bulk {
 		r.reset()
 	}
-	return head, piece, done, nil
+	return head, piece, done, fault
 }
 
 // End tells that the peer has ended its sending, and returns the message that this completes, if any.
--- a/internal/lab/virtual/hunt_test.go
+++ b/internal/lab/virtual/hunt_test.go
@@ -19,6 +19,7 @@
 		"gateway.stop":         "sets a flag on each",
 		"servers.Oldest":       "keeps the first by number",
 		"servers.ConnectingTo": "sorts what it found",
+		"servers.Surplus":      "sorts what it found",
 		"hostgroup.omit":       "sorts what it found",
 		"settings.flatten":     "fills a map by path",
 		"signals.Doubted":      "fills a set",
