Test that a fleet has its list again in time; FAILS until gateways wait for their turn

Cause: gateways give a call up after 2.7 s (hostgroup.AnswerWithin), discovery lets one wait for 3 s. Where discovery refuses at once what would wait longer, its queue is always 3 s long, and nearly each call that it takes is given up in it and costs its turn for nothing.

--- /dev/null
+++ b/internal/lab/virtual/discovery_load_test.go
@@ -0,0 +1,114 @@
+package virtual
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"thymebend/internal/loop"
+)
+
+// A fleet's watches are all reset at once while discovery works through calls in turn. The least time in which every gateway
+// can have a list again is gateways / calls a second, if no call is wasted. What is asked for is half as much again, and 6 s.
+const (
+	recoveryStretch = 1.5
+	recoverySpare   = 6 * time.Second
+)
+
+// recovery is what became of a fleet after its watches were reset.
+type recovery struct {
+	took  time.Duration // until every gateway had a list
+	whole bool          // and whether that came to be before the look at it ended
+	calls int           // that the gateways began meanwhile
+	have  int           // gateways with a list in the end
+}
+
+// callCounter counts the calls that a gateway begins.
+type callCounter struct {
+	loop.Reducer
+	calls *int
+}
+
+// Step implements loop.Reducer.
+func (c callCounter) Step(now time.Duration, e loop.Event) []loop.Effect {
+	list := c.Reducer.Step(now, e)
+	for _, f := range list {
+		if f.Op == loop.Write && bytes.HasPrefix(f.Data, []byte("GET /v1/servers")) {
+			*c.calls++
+		}
+	}
+	return list
+}
+
+// recoverFleet starts gateways, resets their watches and waits until all have a list, for at most so long.
+func recoverFleet(seed uint64, gateways int, queue CallQueue, most time.Duration) recovery {
+	var r recovery
+	w := newWorld(Plan{Seed: seed, Gateways: gateways, Hosts: 2, Sockets: 300, LatencyUS: 200, CostUS: 10}, nil,
+		func(gw loop.Reducer) loop.Reducer { return callCounter{gw, &r.calls} })
+	w.build()
+	w.sim.Run(epoch + 5*time.Second + w.sim.Between(0, 2*time.Second)) // each call has been answered at once until now
+	w.disc.queue = &callQueue{CallQueue: queue}
+	start := w.sim.Now()
+	r.calls = 0
+	w.disc.resetOpen()
+	const step = 20 * time.Millisecond
+	for !r.whole && w.sim.Now() < start+most {
+		w.sim.Run(w.sim.Now() + step)
+		r.have = len(w.disc.listed())
+		r.whole = r.have == gateways
+	}
+	r.took = w.sim.Now() - start
+	return r
+}
+
+// discoveryOf answers so many calls a second, and refuses one that would wait over 3 s.
+func discoveryOf(perSecond float64, atOnce bool) CallQueue {
+	const lines = 30
+	return CallQueue{LinesPerSecond: lines * perSecond, CallLines: lines, TimeoutMS: 3000, ShedAtOnce: atOnce}
+}
+
+// Every gateway has its list again in little more than the time that discovery needs for a call of each.
+func TestAFleetHasItsListAgainInTime(t *testing.T) {
+	for _, c := range []struct {
+		gateways  int
+		perSecond float64
+	}{{3, 1}, {30, 3}, {30, 10}, {120, 5}, {120, 20}, {350, 10}, {350, 20}, {350, 50}} {
+		for _, atOnce := range []bool{true, false} {
+			name := fmt.Sprintf("%d gateways, %v a second, refused at once %v", c.gateways, c.perSecond, atOnce)
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				ideal := time.Duration(float64(c.gateways) / c.perSecond * float64(time.Second))
+				within := time.Duration(recoveryStretch*float64(ideal)) + recoverySpare
+				var worst recovery
+				seeds := uint64(3)
+				if c.gateways > 30 {
+					seeds = 1 // for its time
+				}
+				for seed := range seeds {
+					r := recoverFleet(seed, c.gateways, discoveryOf(c.perSecond, atOnce), 2*within)
+					if r.took > worst.took {
+						worst = r
+					}
+				}
+				t.Logf("ideal %v, allowed %v, at worst %v, with %d calls and %d lists",
+					ideal, within, worst.took, worst.calls, worst.have)
+				if !worst.whole || worst.took > within {
+					t.Errorf("after %v %d of %d gateways have a list", worst.took, worst.have, c.gateways)
+				}
+			})
+		}
+	}
+}
+
+// A change is kept to 6 s after discovery had it, while discovery works through calls in turn and all watches break.
+func TestDiscoveryUnderLoadHoldsTheRules(t *testing.T) {
+	for seed := range uint64(16) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			if o := holds(t, draw(t, seed, discoveryLoadProfile)); o.Tries < 500 || o.Served < o.Tries/2 {
+				t.Errorf("a run of nothing: %+v", o)
+			}
+		})
+	}
+}
