--- a/internal/clients/links.go
+++ b/internal/clients/links.go
@@ -17,10 +17,14 @@
 	Many   int // past it links that are not used again are closed, see Spent
 	// Within is what a request has to come whole: a client that may wait longer for its answer may take longer to ask.
 	Within time.Duration
-	// Nothing has come yet, by their accept; a first request is half read, by its last byte; at rest after one query,
-	// and after several; a later request is half read; at rest after looks at the health alone: the first query is to
-	// come; our sending has ended, after the last answer.
-	parted, fresh, halfFirst, once, rested, halfLater, looked queue
+
+	ended     queue // our sending has ended, after the last answer
+	unused    queue // nothing has come yet, by their accept
+	partFirst queue // a first request is partly read, by its last byte
+	usedOnce  queue // idle after one request
+	usedAgain queue // idle after several
+	partLater queue // a later request is partly read
+	checked   queue // idle after health checks alone: the first request is to come
 }
 
 // NewLinks returns room for so many links.
@@ -54,66 +58,66 @@
 	switch {
 	case l.Busy, l.LastAsk:
 	case l.Ended:
-		s.parted.add(l)
+		s.ended.add(l)
 	case l.Pending() && l.Asked:
-		s.halfLater.add(l)
+		s.partLater.add(l)
 	case l.Pending():
-		s.halfFirst.add(l)
+		s.partFirst.add(l)
 	case l.Queries == 1:
-		s.once.add(l)
+		s.usedOnce.add(l)
 	case l.Queries > 1:
-		s.rested.add(l)
+		s.usedAgain.add(l)
 	case l.Asked:
-		s.looked.add(l)
+		s.checked.add(l)
 	default:
-		s.fresh.add(l)
+		s.unused.add(l)
 	}
 }
 
 // GivesWay returns the link that gives way first where links run short, or nil if none may. Guards against crowds that
 // connect and ask nothing, ask once and stay, or never end a request. Those go before all
 // that have their last answer and whose client has had time to take it, then those that have said nothing for FirstSoon,
-// then those at rest, which costs their clients a new connection and no request, those that brought one query before those
+// then those at rest, which costs their clients a new connection and no request, those that brought one request before those
 // that brought more, then those whose request has stood still for GoesOnWithin. Those that are young or have only asked for
-// health go last, as their first query is to come and would be lost with them. A request that goes on coming is never cut.
+// health go last, as their first request is to come and would be lost with them. A request that goes on coming is never cut.
 func (s *Links) GivesWay(now time.Duration) *Link {
 	quiet := func(q *queue, since time.Duration) bool { return q.head != nil && now-q.head.heard >= since }
 	switch {
-	case s.Parted(now) != nil:
-		return s.Parted(now)
-	case quiet(&s.fresh, FirstSoon):
-		return s.fresh.head
-	case quiet(&s.looked, RestsFor):
-		return s.looked.head
-	case s.once.head != nil:
-		return s.once.head
-	case s.rested.head != nil:
-		return s.rested.head
-	case quiet(&s.halfFirst, GoesOnWithin):
-		return s.halfFirst.head
-	case quiet(&s.halfLater, GoesOnWithin):
-		return s.halfLater.head
-	case s.looked.head != nil:
-		return s.looked.head
-	case quiet(&s.fresh, SpeaksWithin):
-		return s.fresh.head
+	case s.Ended(now) != nil:
+		return s.Ended(now)
+	case quiet(&s.unused, FirstSoon):
+		return s.unused.head
+	case quiet(&s.checked, RestsFor):
+		return s.checked.head
+	case s.usedOnce.head != nil:
+		return s.usedOnce.head
+	case s.usedAgain.head != nil:
+		return s.usedAgain.head
+	case quiet(&s.partFirst, GoesOnWithin):
+		return s.partFirst.head
+	case quiet(&s.partLater, GoesOnWithin):
+		return s.partLater.head
+	case s.checked.head != nil:
+		return s.checked.head
+	case quiet(&s.unused, SpeaksWithin):
+		return s.unused.head
 	}
 	return nil
 }
 
-// Parted returns a link that has its last answer and whose client has had time to take it, or nil.
-func (s *Links) Parted(now time.Duration) *Link {
-	if l := s.parted.head; l != nil && now-l.Since >= SpeaksWithin {
+// Ended returns a link that has its last answer and whose client has had time to take it, or nil.
+func (s *Links) Ended(now time.Duration) *Link {
+	if l := s.ended.head; l != nil && now-l.Since >= SpeaksWithin {
 		return l
 	}
 	return nil
 }
 
-// Spent returns a link that brought one query and has rested since, where there are many links, or nil. Guards against
-// clients that open a link for each query and keep all: where they may hold so many and no more, they have none left
-// for their next query long before links run short here.
+// Spent returns a link that brought one request and has rested since, where there are many links, or nil. Guards against
+// clients that open a link for each request and keep all: where they may hold so many and no more, they have none left
+// for their next request long before links run short here.
 func (s *Links) Spent(now time.Duration) *Link {
-	if l := s.once.head; l != nil && s.TooMany() && now-l.Since >= OnceFor {
+	if l := s.usedOnce.head; l != nil && s.TooMany() && now-l.Since >= OnceFor {
 		return l
 	}
 	return nil
--- a/internal/gateway/fromclients.go
+++ b/internal/gateway/fromclients.go
@@ -96,7 +96,7 @@
 	if g.alone() {
 		return g.links.GivesWay(g.now)
 	}
-	return g.links.Parted(g.now)
+	return g.links.Ended(g.now)
 }
 
 // linksAwaited reports whether clients wait at the listener for links while none at rest may be closed for them: there
@@ -237,7 +237,7 @@
 
 // crowded reports whether queries hold nearly all links, so that hardly any could give way to those that wait. Guards
 // against an overload that fills every link with held queries: whoever comes then would wait unheard, longer than he
-// has time, where a refusal at once frees a link. With an heir nobody waits here: see resize.
+// has time, where a refusal at once frees a link. With a next process nobody waits here: see resize.
 func (g *Gateway) crowded() bool {
 	return g.heir == nil && len(g.queries) > g.links.Most*7/8
 }
@@ -284,7 +284,7 @@
 	g.unmute(l)
 	rest := clients.IdleAfter
 	if l.Queries == 1 && g.links.TooMany() && g.alone() {
-		rest = clients.OnceFor // no newcomer may be left to close it, see Spent
+		rest = clients.OnceFor // no new process may be left to close it, see Spent
 	}
 	g.setTimer(timerClient, uint64(l.Conn), g.now+rest)
 	g.restless = true
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -12,10 +12,10 @@
 // heapShare of the memory limit is the collector's; the rest is for stacks, sockets and the program itself.
 const heapShare = 0.6
 
-// manyShare of the descriptors in client links are many: clients may hold a third for their queries.
+// manyShare of the descriptors in client links are many: clients may hold a third for their requests.
 const manyShare = 4
 
-// spareLinks to hosts are left to an elder beyond those that it has, for what it still holds.
+// spareLinks to hosts are left to an old process beyond one for each of its client links.
 const spareLinks = 4
 
 // meet asks for what a process of this gateway that serves already has to give.
@@ -303,14 +303,14 @@
 // could stay: what is gained would be lost to clients who come back in the middle of the upgrade.
 func (g *Gateway) alone() bool { return g.heir == nil && g.elder == nil }
 
-// holds is how many descriptors of the limit this process and its elder need: those in use, and those that it may still
+// holds is how many descriptors of the limit this process and the one before it need: those in use, and those that it may still
 // take without the other process hearing of it.
 func (g *Gateway) holds() int {
 	return ownSockets + max(len(g.links.ByConn), g.links.Most) + g.pool.Most() + g.elderHolds
 }
 
-// resize divides the limits between the processes that serve: a newcomer that does not yet take clients has half, an
-// elder whose heir does may not grow.
+// resize divides the limits between the two processes of an upgrade: until the new one takes clients each has half, then
+// the old one may not grow.
 func (g *Gateway) resize() {
 	if g.heirTakes {
 		g.shrink()
@@ -347,8 +347,8 @@
 	g.pool.Resize(outbound)
 }
 
-// shrink leaves this process what its client links need. Each has at most one query, which needs one link to a host; all
-// else is the heir's, which has clients that wait.
+// shrink leaves this process what its client links need. Each has at most one request, which needs one link to a host;
+// all else is the new process's, which has clients that wait.
 func (g *Gateway) shrink() {
 	held := len(g.links.ByConn)
 	g.links.Most = held
--- a/internal/servers/pool.go
+++ b/internal/servers/pool.go
@@ -24,7 +24,7 @@
 	Relaying // its answer is passed on as it comes
 )
 
-// Link is one server link. It carries one execution at a time.
+// Link is one server link. It carries one attempt at a time.
 type Link struct {
 	Conn   loop.Conn
 	Host   thymebend.ServerID
