--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -398,7 +398,7 @@
 	}
 }
 
-// Known to fail: a host is opened more links than it takes while half of the hosts are down.
+// Half of the hosts are replaced while a zone is lost: of the hosts of that zone three are left, which all its gateways use.
 func TestFleetSeedThatCrowdsAHost(t *testing.T) {
 	p, err := DrawSized(258, fleetProfile, Size{Gateways: 60, Hosts: 40})
 	if err != nil {
@@ -436,7 +436,7 @@
 	})
 }
 
-// Known to fail: a gateway whose datagrams are lost holds another, which is being upgraded, for ended between two looks.
+// Gateways hear that one is suspected which was just upgraded: by another that is cut off from it, and so are those that it asks.
 func TestUpgradeIsNoEndThoughDatagramsAreLost(t *testing.T) {
 	holds(t, draw(t, 156, sharesProfile))
 }
