--- a/internal/gateway/fromlist.go
+++ b/internal/gateway/fromlist.go
@@ -214,6 +214,7 @@
 		g.heard()
 		return
 	}
+	g.log.Info().Dur("unheard", g.now-g.unheardSince).Msg("new attempts wait for discovery's answer")
 	g.module.Hold(true)
 	g.setTimer(timerHold, 0, g.now+mostHold)
 }
