--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -1,9 +1,8 @@
-// Package consensus is one voter's part in the replicated log of leases: raft, as a reducer. Times, messages and commands go in; what has to be kept, messages
-// and answers come out. It does no I/O and has no clock. docs/design/duties.md says why it is so.
+// Package consensus is one voter's part in a replicated log: raft, as a reducer. Times, messages and commands go in; what has to be kept, messages
+// and answers come out. What the log replicates is a Machine; Node is the log of leases. It does no I/O and has no clock. docs/design/duties.md says why it is so.
 package consensus
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -15,8 +14,6 @@
 
 	"go.etcd.io/raft/v3"
 	"go.etcd.io/raft/v3/raftpb"
-
-	"thymebend/internal/duties"
 )
 
 // Times and sizes.
@@ -27,8 +24,7 @@
 	keepEntries   = 2000
 	snapshotEvery = 1000 // applied entries
 	mostMessage   = 1 << 20
-	mostWaiting   = 1000 // proposals of this voter that have no answer yet
-	caughtUp      = 100  // entries that a learner may lack before it is promoted
+	caughtUp      = 100 // entries that a learner may lack before it is promoted
 )
 
 // Errors that a caller can act on.
@@ -45,12 +41,34 @@
 	Entries  []raftpb.Entry
 }
 
+// Machine is the state that a log replicates. The same entries in the same order give the same state at each replica.
+type Machine interface {
+	// Apply applies one committed entry. An error means that the entry can be no command at all: the voter takes no more part.
+	Apply(Entry) error
+	// Snapshot words the state.
+	Snapshot() ([]byte, error)
+	// Restore takes a worded state in place of its own; with an error nothing has changed.
+	Restore(data []byte) error
+	// Validate reports whether Restore would take it.
+	Validate(data []byte) error
+	// Lead is told when this voter begins and ceases to lead.
+	Lead(now time.Duration, leads bool)
+}
+
+// Entry is one committed command.
+type Entry struct {
+	Index, Term uint64
+	Data        []byte
+}
+
 // Config is what a voter starts from.
 type Config struct {
-	ID     uint64   // above 0; a process that has kept nothing needs one that was never used
-	Voters []uint64 // of the first start of all; the same at each, and none for one that is to be admitted
-	Kept   *Kept    // of the process before, or nil
-	Seed   uint64
+	ID           uint64   // above 0; a process that has kept nothing needs one that was never used
+	Voters       []uint64 // of the first start of all; the same at each, and none for one that is to be admitted
+	Learners     []uint64 // of the first start of all: they have the log and do not vote
+	Kept         *Kept    // of the process before, or nil
+	Seed         uint64
+	MostSnapshot int // bytes that a machine's snapshot may have beyond an ordinary message
 }
 
 // Message is one to be sent.
@@ -59,45 +77,22 @@
 	Data []byte
 }
 
-// Answer is one to a command that this voter proposed.
-type Answer struct {
-	Client string
-	Start  uint64
-	Seq    uint64
-	duties.Answer
-}
-
-// Output is what is to be done now.
-type Output struct {
-	Messages []Message
-	Answers  []Answer
-}
-
-// waiting is a command of this voter's that has no answer yet.
-type waiting struct {
-	client string
-	start  uint64
-	seq    uint64
-}
-
-// Node is one voter, or a learner that is to become one.
-type Node struct {
+// Log is one voter's, or that of a learner.
+type Log struct {
 	id      uint64
 	raw     *raft.RawNode
 	store   *raft.MemoryStorage
 	rng     *rand.Rand
-	table   *duties.Table
+	machine Machine
 	conf    raftpb.ConfState
 	applied uint64
 	kept    uint64 // applied index of the last snapshot
+	most    int    // bytes of a message
 
 	now     time.Duration
 	silent  int // ticks without a leader's word
 	waits   int // until it campaigns
 	leads   bool
-	since   time.Duration // it leads
-	base    time.Duration // the log's time then
-	waiting map[waiting]bool
 	failed  bool
 	changed bool  // the voters have, since the last snapshot
 	begin   *Kept // of the first start, to be kept before anything else
@@ -105,16 +100,16 @@
 	replace map[uint64]uint64 // learner to whom it replaces once it has caught up
 }
 
-// New starts a voter.
-func New(cfg Config, now time.Duration) (*Node, error) {
+// NewLog starts a voter, or a learner, whose log is applied to a machine that is empty.
+func NewLog(cfg Config, machine Machine, now time.Duration) (*Log, error) {
 	if cfg.ID == 0 || cfg.ID == math.MaxUint64 {
 		return nil, fmt.Errorf("consensus: id %d is none", cfg.ID)
 	}
-	if n := len(cfg.Voters); n > 0 && (n%2 == 0 || !slices.Contains(cfg.Voters, cfg.ID) || len(slices.Compact(slices.Sorted(slices.Values(cfg.Voters)))) != n) {
-		return nil, fmt.Errorf("consensus: voters %v: an odd number, each once, with %d among them", cfg.Voters, cfg.ID)
+	if err := cfg.check(); err != nil {
+		return nil, err
 	}
-	n := &Node{id: cfg.ID, store: raft.NewMemoryStorage(), rng: rand.New(rand.NewPCG(cfg.Seed, cfg.ID)), table: duties.NewTable(), now: now,
-		waiting: make(map[waiting]bool), replace: make(map[uint64]uint64)}
+	n := &Log{id: cfg.ID, store: raft.NewMemoryStorage(), rng: rand.New(rand.NewPCG(cfg.Seed, cfg.ID)), machine: machine, now: now,
+		most: 2*mostMessage + cfg.MostSnapshot, replace: make(map[uint64]uint64)}
 	if err := n.restore(cfg); err != nil {
 		return nil, err
 	}
@@ -129,11 +124,24 @@
 	return n, nil
 }
 
+// check holds the first members to their rules: an odd number of voters, nobody twice, and this one among them.
+func (c *Config) check() error {
+	n := len(c.Voters)
+	all := slices.Concat(c.Voters, c.Learners)
+	switch {
+	case n == 0 && len(c.Learners) == 0:
+		return nil
+	case n%2 == 0 || !slices.Contains(all, c.ID) || len(slices.Compact(slices.Sorted(slices.Values(all)))) != len(all):
+		return fmt.Errorf("consensus: voters %v, learners %v: an odd number of voters, each once, with %d among them", c.Voters, c.Learners, c.ID)
+	}
+	return nil
+}
+
 // silence is raft's logger: what it has to say is in the status.
 func silence() raft.Logger { return &raft.DefaultLogger{Logger: log.New(io.Discard, "", 0)} }
 
 // restore takes what the process before has kept, or begins a log with its first voters in it.
-func (n *Node) restore(cfg Config) error {
+func (n *Log) restore(cfg Config) error {
 	switch {
 	case cfg.Kept != nil:
 		if !raft.IsEmptySnap(cfg.Kept.Snapshot) {
@@ -159,13 +167,13 @@
 			return fmt.Errorf("consensus: kept state is committed to %d, the log is %d to %d", at, first, last)
 		}
 	case len(cfg.Voters) > 0:
-		// All begin with the same snapshot: an empty table and who votes.
-		words, err := n.table.Snapshot()
+		// All begin with the same snapshot: an empty machine and who votes.
+		words, err := n.machine.Snapshot()
 		if err != nil {
 			return fmt.Errorf("consensus: %w", err)
 		}
 		first := raftpb.Snapshot{Data: words, Metadata: raftpb.SnapshotMetadata{Index: 1, Term: 1,
-			ConfState: raftpb.ConfState{Voters: slices.Sorted(slices.Values(cfg.Voters))}}}
+			ConfState: raftpb.ConfState{Voters: slices.Sorted(slices.Values(cfg.Voters)), Learners: slices.Sorted(slices.Values(cfg.Learners))}}}
 		n.begin = &Kept{State: raftpb.HardState{Term: 1, Commit: 1}, Snapshot: first}
 		err = n.store.ApplySnapshot(first)
 		if err == nil {
@@ -179,21 +187,20 @@
 	return nil
 }
 
-// takeSnapshot has the table be what a snapshot says.
-func (n *Node) takeSnapshot(s raftpb.Snapshot) error {
-	table, err := duties.Restore(s.Data)
-	if err != nil {
+// takeSnapshot has the machine be what a snapshot says.
+func (n *Log) takeSnapshot(s raftpb.Snapshot) error {
+	if err := n.machine.Restore(s.Data); err != nil {
 		return fmt.Errorf("consensus: %w", err)
 	}
-	n.table, n.conf, n.applied, n.kept = table, s.Metadata.ConfState, s.Metadata.Index, s.Metadata.Index
+	n.conf, n.applied, n.kept = s.Metadata.ConfState, s.Metadata.Index, s.Metadata.Index
 	return nil
 }
 
 // patience draws how long this voter waits for a leader's word. Raft's own draw would be another in each run of the same seed.
-func (n *Node) patience() { n.silent, n.waits = 0, electionTicks+n.rng.IntN(electionTicks) }
+func (n *Log) patience() { n.silent, n.waits = 0, electionTicks+n.rng.IntN(electionTicks) }
 
 // Tick is to be called every TickEvery.
-func (n *Node) Tick(now time.Duration) {
+func (n *Log) Tick(now time.Duration) {
 	if n.failed {
 		return
 	}
@@ -211,18 +218,18 @@
 }
 
 // votes reports whether this node is a voter.
-func (n *Node) votes() bool {
+func (n *Log) votes() bool {
 	return slices.Contains(n.conf.Voters, n.id) || slices.Contains(n.conf.VotersOutgoing, n.id)
 }
 
 // Hear takes a message. What cannot be read, or is not for this voter, is an error and changes nothing.
-func (n *Node) Hear(now time.Duration, from uint64, data []byte) error {
+func (n *Log) Hear(now time.Duration, from uint64, data []byte) error {
 	if n.failed {
 		return ErrFailed
 	}
 	n.now = max(n.now, now)
-	if len(data) > 2*mostMessage {
-		return fmt.Errorf("consensus: a message of %d bytes, %d at most", len(data), 2*mostMessage)
+	if len(data) > n.most {
+		return fmt.Errorf("consensus: a message of %d bytes, %d at most", len(data), n.most)
 	}
 	var m raftpb.Message
 	if err := m.Unmarshal(data); err != nil {
@@ -236,7 +243,7 @@
 	case m.Type == raftpb.MsgSnap && m.Snapshot == nil:
 		return errors.New("consensus: a snapshot without one")
 	case m.Type == raftpb.MsgSnap:
-		if _, err := duties.Restore(m.Snapshot.Data); err != nil {
+		if err := n.machine.Validate(m.Snapshot.Data); err != nil {
 			return err
 		}
 	}
@@ -251,9 +258,8 @@
 	return nil
 }
 
-// Propose puts a command into the log. Its answer comes out of Take once most voters have it, or never: then the client asks again, with
-// the same number.
-func (n *Node) Propose(now time.Duration, c duties.Command) error {
+// Leads reports why nothing can be proposed here, or nil.
+func (n *Log) Leads(now time.Duration) error {
 	n.now = max(n.now, now)
 	n.lead()
 	switch {
@@ -261,44 +267,41 @@
 		return ErrFailed
 	case !n.leads:
 		return ErrNotLeader
-	case len(n.waiting) >= mostWaiting:
-		return ErrBusy
 	}
-	c.At = n.base + n.now - n.since
-	raw, err := json.Marshal(c)
-	if err != nil {
-		return fmt.Errorf("consensus: %w", err)
+	return nil
+}
+
+// Propose puts a command into the log. The machine applies it once most voters have it, or never does.
+func (n *Log) Propose(now time.Duration, data []byte) error {
+	if err := n.Leads(now); err != nil {
+		return err
 	}
-	if err := n.raw.Propose(raw); err != nil {
+	if err := n.raw.Propose(data); err != nil {
 		return fmt.Errorf("%w: %w", ErrBusy, err)
 	}
-	n.waiting[waiting{c.Client, c.Start, c.Seq}] = true
 	return nil
 }
 
-// lead notes when this voter begins and ceases to lead. The log's time goes on from the last command applied.
-func (n *Node) lead() {
+// lead notes when this voter begins and ceases to lead.
+func (n *Log) lead() {
 	leads := n.raw.BasicStatus().RaftState == raft.StateLeader
-	if leads && !n.leads {
-		n.since, n.base = n.now, n.table.Now()
+	if leads == n.leads {
+		return
 	}
-	if !leads && n.leads {
-		clear(n.waiting)
+	if !leads {
 		clear(n.replace)
 	}
 	n.leads = leads
+	n.machine.Lead(n.now, leads)
 }
 
 // Admit has a voter that has forgotten everything come back under a new id, or one take another's place for good: it learns first, and votes in the old
 // one's place once it has caught up.
-func (n *Node) Admit(now time.Duration, learner, replaces uint64) error {
-	n.now = max(n.now, now)
-	n.lead()
+func (n *Log) Admit(now time.Duration, learner, replaces uint64) error {
+	if err := n.Leads(now); err != nil {
+		return err
+	}
 	switch {
-	case n.failed:
-		return ErrFailed
-	case !n.leads:
-		return ErrNotLeader
 	case learner == 0 || learner == replaces || slices.Contains(n.conf.Voters, learner):
 		return fmt.Errorf("consensus: %d cannot learn to replace %d", learner, replaces)
 	case !slices.Contains(n.conf.Voters, replaces):
@@ -312,7 +315,7 @@
 }
 
 // promote gives a learner that has caught up the place of whom it replaces, in one change of two majorities.
-func (n *Node) promote() {
+func (n *Log) promote() {
 	if len(n.replace) == 0 || len(n.conf.VotersOutgoing) > 0 {
 		return
 	}
@@ -343,7 +346,7 @@
 
 // Take does all that is ready. What has to be kept is given to keep before anything that rests on it comes out; if keep fails this voter takes no
 // more part, for what it has said would not be found again.
-func (n *Node) Take(keep func(Kept) error) (out Output, err error) {
+func (n *Log) Take(keep func(Kept) error) (out []Message, err error) {
 	if n.begin != nil && !n.failed {
 		if err := keep(*n.begin); err != nil {
 			n.failed = true
@@ -356,12 +359,12 @@
 		if !raft.IsEmptyHardState(rd.HardState) || len(rd.Entries) > 0 || !raft.IsEmptySnap(rd.Snapshot) {
 			if err := keep(Kept{State: rd.HardState, Entries: rd.Entries, Snapshot: rd.Snapshot}); err != nil {
 				n.failed = true
-				return Output{}, fmt.Errorf("%w: %w", ErrFailed, err)
+				return nil, fmt.Errorf("%w: %w", ErrFailed, err)
 			}
 		}
 		if err := n.digest(rd, &out); err != nil {
 			n.failed = true
-			return Output{}, err
+			return nil, err
 		}
 		n.raw.Advance(rd)
 		n.lead()
@@ -369,8 +372,8 @@
 	return out, n.snapshot(keep)
 }
 
-// digest takes what is ready into the store and the table.
-func (n *Node) digest(rd raft.Ready, out *Output) error {
+// digest takes what is ready into the store and the machine.
+func (n *Log) digest(rd raft.Ready, out *[]Message) error {
 	if !raft.IsEmptySnap(rd.Snapshot) {
 		if err := n.store.ApplySnapshot(rd.Snapshot); err != nil {
 			return fmt.Errorf("consensus: snapshot: %w", err)
@@ -393,20 +396,20 @@
 		if err != nil {
 			return fmt.Errorf("consensus: message: %w", err)
 		}
-		out.Messages = append(out.Messages, Message{To: m.To, Data: raw})
+		*out = append(*out, Message{To: m.To, Data: raw})
 		if m.Type == raftpb.MsgSnap {
 			n.raw.ReportSnapshot(m.To, raft.SnapshotFinish) // whether it came shows in what is answered
 		}
 	}
 	for i := range rd.CommittedEntries {
-		if err := n.apply(&rd.CommittedEntries[i], out); err != nil {
+		if err := n.apply(&rd.CommittedEntries[i]); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (n *Node) apply(e *raftpb.Entry, out *Output) error {
+func (n *Log) apply(e *raftpb.Entry) error {
 	n.applied = e.Index
 	switch {
 	case e.Type == raftpb.EntryConfChangeV2:
@@ -419,26 +422,20 @@
 	case e.Type == raftpb.EntryConfChange:
 		return errors.New("consensus: a change of voters of the old form")
 	case len(e.Data) > 0: // a new leader's first entry is empty
-		var c duties.Command
-		if err := json.Unmarshal(e.Data, &c); err != nil {
+		if err := n.machine.Apply(Entry{Index: e.Index, Term: e.Term, Data: e.Data}); err != nil {
 			return fmt.Errorf("consensus: command: %w", err)
 		}
-		answer := n.table.Apply(c)
-		if w := (waiting{c.Client, c.Start, c.Seq}); n.waiting[w] {
-			delete(n.waiting, w)
-			out.Answers = append(out.Answers, Answer{c.Client, c.Start, c.Seq, answer})
-		}
 	}
 	return nil
 }
 
 // snapshot has the log begin later, where it has grown; and after each change of the voters, for who is new takes no snapshot that does not know it.
-func (n *Node) snapshot(keep func(Kept) error) error {
+func (n *Log) snapshot(keep func(Kept) error) error {
 	if n.failed || !n.changed && n.applied < n.kept+snapshotEvery {
 		return nil
 	}
 	n.changed = false
-	words, err := n.table.Snapshot()
+	words, err := n.machine.Snapshot()
 	if err != nil {
 		return fmt.Errorf("consensus: %w", err)
 	}
@@ -464,18 +461,12 @@
 	Quorum           bool // a leader is known and heard of lately
 	Term, Applied    uint64
 	Voters, Learners []uint64
-	Held             int           // duties held or waited for
-	Fence            uint64        // highest number given
-	Time             time.Duration // of the log
 	Failed           bool
 }
 
 // Status tells how this voter stands.
-func (n *Node) Status() Status {
+func (n *Log) Status() Status {
 	b := n.raw.BasicStatus()
 	return Status{ID: n.id, Leader: b.Lead, Leads: b.RaftState == raft.StateLeader, Quorum: b.Lead != 0 && n.silent < electionTicks, Term: b.Term, Applied: n.applied,
-		Voters: slices.Clone(n.conf.Voters), Learners: slices.Clone(n.conf.Learners), Held: n.table.Len(), Fence: n.table.Fence(), Time: n.table.Now(), Failed: n.failed}
+		Voters: slices.Clone(n.conf.Voters), Learners: slices.Clone(n.conf.Learners), Failed: n.failed}
 }
-
-// Holders lists who holds a duty, as far as this voter has applied the log: hearsay for operators, no ground for an effect.
-func (n *Node) Holders(duty string) []string { return n.table.Holders(duty) }
