--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -15,39 +15,17 @@
 	"thymebend/internal/duties"
 )
 
-// disk keeps what a voter gives it.
+// disk keeps what a voter gives it, until it is full.
 type disk struct {
-	state    raftpb.HardState
-	snapshot raftpb.Snapshot
-	entries  []raftpb.Entry
-	full     bool
-	writes   int
+	Memory
+	full bool
 }
 
 func (d *disk) keep(k Kept) error {
 	if d.full {
 		return errors.New("no space left")
 	}
-	d.writes++
-	if !raft.IsEmptyHardState(k.State) {
-		d.state = k.State
-	}
-	if !raft.IsEmptySnap(k.Snapshot) {
-		d.snapshot = k.Snapshot
-		d.entries = slices.DeleteFunc(slices.Clone(d.entries), func(e raftpb.Entry) bool { return e.Index <= k.Snapshot.Metadata.Index })
-	}
-	if len(k.Entries) > 0 {
-		d.entries = slices.DeleteFunc(slices.Clone(d.entries), func(e raftpb.Entry) bool { return e.Index >= k.Entries[0].Index })
-		d.entries = append(d.entries, k.Entries...)
-	}
-	return nil
-}
-
-func (d *disk) kept() *Kept {
-	if d.writes == 0 {
-		return nil
-	}
-	return &Kept{State: d.state, Snapshot: d.snapshot, Entries: slices.Clone(d.entries)}
+	return d.Keep(k)
 }
 
 // voter is a process that runs a node, or has ended.
@@ -114,7 +92,7 @@
 
 func (c *cluster) start(id uint64) {
 	v := c.voters[id]
-	cfg := Config{ID: id, Voters: c.first, Kept: v.disk.kept(), Seed: c.rng.Uint64()}
+	cfg := Config{ID: id, Voters: c.first, Kept: v.disk.Kept(), Seed: c.rng.Uint64()}
 	if !slices.Contains(c.first, id) {
 		cfg.Voters = nil
 	}
--- a/internal/rollout/wire/messages.go
+++ b/internal/rollout/wire/messages.go
@@ -146,6 +146,7 @@
 // GatewayReport is what a control machine tells its leader of one of its gateways.
 type GatewayReport struct {
 	Gateway, Zone string
+	Session       uint64 // the highest one is where the gateway is subscribed
 	State         State
 	Target        uint64 // version that it was offered
 	Touched       bool   // by what is between the released version and the newest one
@@ -243,7 +244,7 @@
 	b = AppendUint(AppendBool(AppendUint(b, m.Head), m.Whole), uint64(len(m.Gateways)))
 	for i := range m.Gateways {
 		g := &m.Gateways[i]
-		b = appendState(AppendString(AppendString(b, g.Gateway), g.Zone), &g.State)
+		b = appendState(AppendUint(AppendString(AppendString(b, g.Gateway), g.Zone), g.Session), &g.State)
 		b = AppendBool(AppendBool(AppendUint(b, g.Target), g.Touched), g.Silent)
 	}
 	return b
@@ -255,7 +256,7 @@
 		if r.failed {
 			return
 		}
-		m.Gateways = append(m.Gateways, GatewayReport{Gateway: r.String(content.MaxName), Zone: r.String(content.MaxName), State: r.state(),
-			Target: r.Uint(), Touched: r.Bool(), Silent: r.Bool()})
+		m.Gateways = append(m.Gateways, GatewayReport{Gateway: r.String(content.MaxName), Zone: r.String(content.MaxName),
+			Session: r.Uint(), State: r.state(), Target: r.Uint(), Touched: r.Bool(), Silent: r.Bool()})
 	}
 }
