--- /dev/null
+++ b/internal/lab/rolloutsim/process.go
@@ -0,0 +1,170 @@
+package rolloutsim
+
+import (
+	"errors"
+	"time"
+
+	"thymebend/internal/rollout/wire"
+)
+
+// Clock is what a fleet lives by. timeline.Timeline is one.
+type Clock interface {
+	Now() time.Duration
+	At(at time.Duration, do func())
+}
+
+// Endpoint is a process's place: a gateway or a control machine, by its index.
+type Endpoint struct {
+	Control bool
+	Index   int
+}
+
+// Network carries frames. It calls deliver once for each copy that arrives, at its time.
+type Network interface {
+	Send(from, to Endpoint, bytes int, deliver func())
+}
+
+// frameOverhead is what IP and TCP add to each frame.
+const frameOverhead = 52
+
+// process is what gateways and control machines have in common: lives, stalls, and frames.
+type process struct {
+	fleet   *Fleet
+	at      Endpoint
+	life    int // grows with each start and end
+	up      bool
+	stalled bool
+	waiting []func()
+	due     bool
+	next    time.Duration
+
+	senders   map[Endpoint]*wire.Sender
+	receivers map[Endpoint]*wire.Receiver
+
+	// Traffic so far, in bytes, headers included.
+	Sent, Received uint64
+	Refused        uint64 // frames that were not taken
+	Repeated       uint64 // of those, frames that had come before
+	Used           time.Duration
+}
+
+func (p *process) start() {
+	p.life++
+	p.up, p.stalled, p.waiting, p.due, p.next = true, false, nil, false, 0
+	p.senders, p.receivers = make(map[Endpoint]*wire.Sender), make(map[Endpoint]*wire.Receiver)
+}
+
+func (p *process) end() {
+	p.life++
+	p.up = false
+}
+
+// post words a message and sends it to another process, which takes it once.
+func (p *process) post(to *process, m wire.Message, hear func(wire.Message)) {
+	s := p.senders[to.at]
+	if s == nil {
+		s = &wire.Sender{Fleet: wire.FleetID(p.fleet.cfg.Name), Start: uint64(p.life)}
+		p.senders[to.at] = s
+	}
+	frame := s.Append(nil, m)
+	p.Sent += uint64(len(frame) + frameOverhead)
+	p.fleet.net.Send(p.at, to.at, len(frame)+frameOverhead, func() {
+		if !to.up {
+			return
+		}
+		to.Received += uint64(len(frame) + frameOverhead)
+		to.run(func() { to.take(p.at, frame, hear) })
+	})
+}
+
+// take reads a frame, and has it heard if it is one.
+func (p *process) take(from Endpoint, frame []byte, hear func(wire.Message)) {
+	r := p.receivers[from]
+	if r == nil {
+		r = &wire.Receiver{Fleet: wire.FleetID(p.fleet.cfg.Name)}
+		p.receivers[from] = r
+	}
+	m, _, err := r.Receive(frame)
+	if err != nil {
+		p.Refused++
+		if errors.Is(err, wire.ErrRepeated) {
+			p.Repeated++
+		}
+		return
+	}
+	hear(m)
+}
+
+// mostWaiting is how many frames a process that stands still finds when it goes on.
+const mostWaiting = 1000
+
+// run does something now, or when the process goes on after a stall.
+func (p *process) run(do func()) {
+	switch {
+	case !p.up:
+	case !p.stalled:
+		do()
+	case len(p.waiting) < mostWaiting:
+		p.waiting = append(p.waiting, do)
+	}
+}
+
+// stall has the process stand still for a while, as SIGSTOP and SIGCONT do. Timers are late, then what has waited comes.
+func (p *process) stall(length time.Duration, advance func()) {
+	if !p.up || p.stalled {
+		return
+	}
+	p.stalled = true
+	life := p.life
+	p.fleet.clock.At(p.fleet.clock.Now()+length, func() {
+		if p.life == life {
+			p.resume(advance)
+		}
+	})
+}
+
+// resume ends a stall.
+func (p *process) resume(advance func()) {
+	if !p.stalled {
+		return
+	}
+	p.stalled = false
+	waiting := p.waiting
+	p.waiting = nil
+	if p.due {
+		p.due = false
+		advance()
+	}
+	for _, do := range waiting {
+		p.run(do)
+	}
+}
+
+// wake has advance called at a time, in this life.
+func (p *process) wake(at time.Duration, advance func()) {
+	now := p.fleet.clock.Now()
+	if p.next > now && p.next <= at {
+		return // an earlier call is under way, after which this is asked for again
+	}
+	at = max(at, now+100*time.Microsecond)
+	p.next = at
+	life := p.life
+	p.fleet.clock.At(at, func() {
+		if p.life != life || p.next != at {
+			return
+		}
+		p.next = 0
+		if p.stalled {
+			p.due = true
+			return
+		}
+		advance()
+	})
+}
+
+// spend counts what a call takes of this machine's processor. Nothing of a run depends on it.
+func (p *process) spend(call func()) {
+	began := time.Now()
+	call()
+	p.Used += time.Since(began)
+}
--- /dev/null
+++ b/internal/lab/rolloutsim/rules.go
@@ -0,0 +1,180 @@
+package rolloutsim
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"thymebend/internal/rollout"
+	"thymebend/internal/rollout/content"
+)
+
+// Words in bodies by which a gateway refuses a configuration or fails with it: a share in percent of the gateways follows.
+const (
+	refusedBy = "refused-by="
+	failsAt   = "fails-at="
+)
+
+// stopKnownWithin is how long after a stop was committed a gateway may still take the version: the longest that a control machine
+// believes in its quorum or an agent in its session, a frame's way, and an installation.
+const stopKnownWithin = 5 * time.Second
+
+// refusal is why a gateway does not take a configuration.
+func refusal(g *Gateway, next rollout.Install) error {
+	if share, found := spoken(next.Tree, refusedBy); found && chosen(g, next.Ref.Number, share) {
+		return errors.New("a body says that it is refused")
+	}
+	return nil
+}
+
+// failure is why a gateway fails with a configuration that it has taken.
+func failure(g *Gateway, next rollout.Install) string {
+	if share, found := spoken(next.Tree, failsAt); found && chosen(g, next.Ref.Number, share) {
+		return "a body says that it fails"
+	}
+	return ""
+}
+
+// faultyRoute is the only name under which spoken looks, for a look through everything would cost much at a fleet's size.
+const faultyRoute = "faulty"
+
+func spoken(t *content.Tree, word string) (share int, found bool) {
+	for _, name := range t.Services() {
+		for _, e := range t.Entries(name)[1:] {
+			if e.Kind != content.Route {
+				break
+			}
+			if e.Name != faultyRoute {
+				continue
+			}
+			if after, ok := strings.CutPrefix(e.Body, word); ok {
+				if _, err := fmt.Sscan(after, &share); err == nil {
+					return share, true
+				}
+			}
+		}
+	}
+	return 0, false
+}
+
+func chosen(g *Gateway, number uint64, share int) bool {
+	return xxh3.HashStringSeed(g.Name, number)%100 < uint64(share)
+}
+
+// committed is one version as the log has it.
+type committed struct {
+	ref       content.Ref
+	tree      *content.Tree
+	at        time.Duration
+	canaries  map[string]bool
+	zones     map[string]bool
+	all       bool
+	stoppedAt time.Duration // 0 where it is not stopped
+}
+
+// ledger is what control machines have shown to be committed.
+type ledger struct {
+	versions map[uint64]*committed
+	newest   uint64
+	attempt  uint64
+}
+
+func newLedger() ledger { return ledger{versions: make(map[uint64]*committed)} }
+
+// seen is what was last seen of a control machine's store.
+type seen struct {
+	controller *rollout.Controller
+	head       uint64
+	released   uint64
+	stage      rollout.Rollout
+}
+
+// look takes what is new in a control machine's store, and holds it against what others have shown.
+func (l *ledger) look(f *Fleet, c *Control) {
+	store := c.Controller.Store()
+	head, released, stage := store.Head().Ref.Number, store.Released().Ref.Number, store.Rollout()
+	was := c.seen
+	c.seen = seen{c.Controller, head, released, stage}
+	if c.seen == was {
+		return
+	}
+	if was.controller == c.Controller && (head < was.head || released < was.released) {
+		f.Find("control machine %d went back from version %d, %d released, to %d, %d", c.ID, was.head, was.released, head, released)
+	}
+	from := was.head
+	if was.controller != c.Controller {
+		from = 0
+	}
+	for n := from; n <= head; n++ {
+		if v := store.Version(n); v != nil {
+			l.commit(f, c, v)
+		}
+	}
+	l.stage(f, store, stage)
+}
+
+func (l *ledger) commit(f *Fleet, c *Control, v *rollout.Version) {
+	known := l.versions[v.Ref.Number]
+	if known == nil {
+		l.versions[v.Ref.Number] = &committed{ref: v.Ref, tree: v.Tree, at: f.clock.Now(), canaries: make(map[string]bool), zones: make(map[string]bool)}
+		l.newest = max(l.newest, v.Ref.Number)
+		return
+	}
+	if known.ref != v.Ref || v.Tree.Hash() != v.Ref.Hash {
+		f.Find("control machine %d has version %v, another has %v", c.ID, v.Ref, known.ref)
+	}
+}
+
+func (l *ledger) stage(f *Fleet, store *rollout.Store, r rollout.Rollout) {
+	if v := l.versions[store.Released().Ref.Number]; v != nil {
+		v.all = true
+	}
+	v := l.versions[r.Version]
+	if r.Version == 0 || v == nil {
+		return
+	}
+	if r.Canary != "" {
+		v.canaries[r.Canary] = true
+	}
+	if r.Zone != "" {
+		v.zones[r.Zone] = true
+	}
+	v.all = v.all || r.Stage == rollout.AllGateways
+	switch {
+	case r.Stage == rollout.Stopped && v.stoppedAt == 0 && r.Attempt >= l.attempt:
+		v.stoppedAt = f.clock.Now()
+	case r.Stage != rollout.Stopped && r.Attempt > l.attempt:
+		v.stoppedAt = 0 // resumed
+	}
+	l.attempt = max(l.attempt, r.Attempt)
+}
+
+// installed holds a configuration that a gateway has put in force against the rules.
+func (l *ledger) installed(f *Fleet, g *Gateway, next rollout.Install) {
+	ref := next.Ref
+	if ref.Number < g.fence.Number || ref.Term < g.fence.Term {
+		f.Find("%s: version %v in force after %v", g.Name, ref, g.fence)
+	}
+	g.fence = ref
+	v := l.versions[ref.Number]
+	if v == nil || v.ref != ref {
+		f.Find("%s: version %v in force, which was never committed", g.Name, ref)
+		return
+	}
+	services := g.Services
+	if len(services) == 0 {
+		services = v.tree.Services()
+	}
+	if next.Tree.Hash() != v.tree.ScopeHash(services) {
+		f.Find("%s: version %v in force with other content: not whole", g.Name, ref)
+	}
+	if !v.all && !v.canaries[g.Name] && !v.zones[g.Zone] {
+		f.Find("%s: version %v in force, which is not at its stage", g.Name, ref)
+	}
+	if v.stoppedAt != 0 && f.clock.Now() > v.stoppedAt+stopKnownWithin {
+		f.Find("%s: version %v in force %v after it was stopped", g.Name, ref, f.clock.Now()-v.stoppedAt)
+	}
+}
