--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -458,7 +458,7 @@
 type Status struct {
 	ID, Leader       uint64 // Leader is 0 where none is known
 	Leads            bool
-	Quorum           bool // a leader is known and heard of lately
+	Quorum           bool // a leader is known and heard of lately; one that hears no majority leads no more
 	Term, Applied    uint64
 	Voters, Learners []uint64
 	Failed           bool
@@ -467,6 +467,7 @@
 // Status tells how this voter stands.
 func (n *Log) Status() Status {
 	b := n.raw.BasicStatus()
-	return Status{ID: n.id, Leader: b.Lead, Leads: b.RaftState == raft.StateLeader, Quorum: b.Lead != 0 && n.silent < electionTicks, Term: b.Term, Applied: n.applied,
+	leads := b.RaftState == raft.StateLeader
+	return Status{ID: n.id, Leader: b.Lead, Leads: leads, Quorum: leads || b.Lead != 0 && n.silent < electionTicks, Term: b.Term, Applied: n.applied,
 		Voters: slices.Clone(n.conf.Voters), Learners: slices.Clone(n.conf.Learners), Failed: n.failed}
 }
--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -497,3 +497,56 @@
 		}
 	}
 }
+
+// A voter whose votes come late leads with a quorum like any other: what it waited as a candidate is no silence of a leader.
+func TestALateElectionIsAQuorum(t *testing.T) {
+	nodes := make(map[uint64]*Node)
+	for id := uint64(1); id <= 3; id++ {
+		n, err := New(Config{ID: id, Voters: []uint64{1, 2, 3}, Seed: 3}, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		nodes[id] = n
+	}
+	keep := func(Kept) error { return nil }
+	now := time.Duration(0)
+	tick := func() []Message {
+		now += TickEvery
+		nodes[1].Tick(now)
+		out, err := nodes[1].Take(keep)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return out.Messages
+	}
+	var post []Message
+	for len(post) == 0 {
+		post = tick()
+	}
+	for nodes[1].silent < electionTicks+1 { // before it campaigns again
+		if tick(); nodes[1].silent == 0 {
+			t.Fatal("this seed's patience is too short")
+		}
+	}
+	from := make(map[string]uint64)
+	for _, m := range post {
+		from[string(m.Data)] = 1
+	}
+	for ; len(post) > 0; post = post[1:] {
+		to := nodes[post[0].To]
+		if err := to.Hear(now, from[string(post[0].Data)], post[0].Data); err != nil {
+			t.Fatal(err)
+		}
+		out, err := to.Take(keep)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range out.Messages {
+			from[string(m.Data)] = to.Status().ID
+		}
+		post = append(post, out.Messages...)
+	}
+	if s := nodes[1].Status(); !s.Leads || !s.Quorum {
+		t.Errorf("%+v", s)
+	}
+}
--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -60,17 +60,18 @@
 }
 
 type grammar struct {
-	Run     runCmd     `cmd:"" help:"Play an experiment against real gateways and write result.json and report.html."`
-	Load    loadCmd    `cmd:"" help:"Send requests on schedule to anything that speaks the clients' protocol."`
-	Fleet   fleetCmd   `cmd:"" help:"Start the hosts and discovery of an experiment alone, until SIGTERM."`
-	Compare compareCmd `cmd:"" help:"Write one page that compares two runs."`
-	Seeds   seedsCmd   `cmd:"" help:"Play seeded fault runs of the whole gateway on a virtual clock."`
-	Drill   drillCmd   `cmd:"" help:"Start several gateways with relays between them, break paths and processes, and hold the rules."`
-	Shares  sharesCmd  `cmd:"" help:"Compare ways to divide hosts among gateways."`
-	View    viewCmd    `cmd:"" help:"Measure the fleet's view of itself on the virtual clock."`
-	Replay  replayCmd  `cmd:"" help:"Play one seed again to the letter, trace it, and reduce it to a small plan."`
-	Plan    planCmd    `cmd:"" help:"Play a kept plan."`
-	Trace   traceCmd   `cmd:"" help:"Turn a run into a trace that 'load --trace' replays."`
+	Run      runCmd      `cmd:"" help:"Play an experiment against real gateways and write result.json and report.html."`
+	Load     loadCmd     `cmd:"" help:"Send requests on schedule to anything that speaks the clients' protocol."`
+	Fleet    fleetCmd    `cmd:"" help:"Start the hosts and discovery of an experiment alone, until SIGTERM."`
+	Compare  compareCmd  `cmd:"" help:"Write one page that compares two runs."`
+	Seeds    seedsCmd    `cmd:"" help:"Play seeded fault runs of the whole gateway on a virtual clock."`
+	Drill    drillCmd    `cmd:"" help:"Start several gateways with relays between them, break paths and processes, and hold the rules."`
+	Shares   sharesCmd   `cmd:"" help:"Compare ways to divide hosts among gateways."`
+	View     viewCmd     `cmd:"" help:"Measure the fleet's view of itself on the virtual clock."`
+	Rollouts rolloutsCmd `cmd:"" help:"Play or measure the spread of configuration changes on the virtual clock."`
+	Replay   replayCmd   `cmd:"" help:"Play one seed again to the letter, trace it, and reduce it to a small plan."`
+	Plan     planCmd     `cmd:"" help:"Play a kept plan."`
+	Trace    traceCmd    `cmd:"" help:"Turn a run into a trace that 'load --trace' replays."`
 }
 
 // Main runs the command line and returns the exit code.
--- a/internal/lab/rolloutsim/rules.go
+++ b/internal/lab/rolloutsim/rules.go
@@ -152,6 +152,20 @@
 	l.attempt = max(l.attempt, r.Attempt)
 }
 
+// refuses tells whether a gateway would refuse some version from a number on.
+func (l *ledger) refuses(g *Gateway, number uint64) bool {
+	for ; number <= l.newest; number++ {
+		v := l.versions[number]
+		if v == nil {
+			continue
+		}
+		if share, found := spoken(v.tree, refusedBy); found && chosen(g, number, share) {
+			return true
+		}
+	}
+	return false
+}
+
 // installed holds a configuration that a gateway has put in force against the rules.
 func (l *ledger) installed(f *Fleet, g *Gateway, next rollout.Install) {
 	ref := next.Ref
