--- a/internal/lab/rolloutsim/fleet.go
+++ b/internal/lab/rolloutsim/fleet.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"thymebend/internal/consensus"
@@ -77,7 +78,7 @@
 		g := &Gateway{process: process{fleet: f, at: Endpoint{false, i}}, Zone: fmt.Sprint("zone-", zone), Region: regionName(zone * cfg.Regions / cfg.Zones)}
 		g.Name = fmt.Sprintf("g-%04d", i)
 		if cfg.Services != nil {
-			g.Services = cfg.Services(i)
+			g.Services = slices.Sorted(slices.Values(cfg.Services(i)))
 		}
 		f.Gateways = append(f.Gateways, g)
 	}
--- a/internal/lab/rolloutsim/play.go
+++ b/internal/lab/rolloutsim/play.go
@@ -282,7 +282,6 @@
 // judge holds what has to be true after the troubles.
 func (r *run) judge() Outcome {
 	f := r.Fleet
-	healed := r.Now()
 	released := uint64(0)
 	for _, c := range f.Controls {
 		released = max(released, c.Controller.Store().Released().Ref.Number)
@@ -291,21 +290,53 @@
 	if r.out.Converged = took; !ok {
 		f.Find("%v after the last trouble: %s", forceWithin, f.behind(released))
 	}
-	r.out.Force = r.lastChange()
-	r.Run(max(r.Now(), healed+20*time.Second))
-	if wrong := f.behind(f.ledger.newest); wrong != "" {
-		f.Find("20 s after the last trouble: %s", wrong)
+	if r.mend(); len(f.Findings) == 0 {
+		r.out.Force = r.lastChange()
+	}
+	r.Run(r.Now() + 5*time.Second)
+	if wrong := f.behind(f.ledger.newest); wrong != "" && len(f.Findings) == 0 {
+		f.Find("5 s after the last change: %s", wrong)
 	}
 	r.sum()
 	return r.out
 }
 
+// mostMending is how long the authors and the operator may take, after the troubles, to have released what no gateway refuses.
+const mostMending = time.Minute
+
+// mend has what is faulty replaced until a version without it is released. Versions before it may be stopped, and it may be taken back with them: then it is
+// submitted again.
+func (r *run) mend() {
+	f := r.Fleet
+	_, ok := r.until(mostMending, func() bool {
+		leader := f.Leader()
+		if leader == nil {
+			return false
+		}
+		store := leader.Controller.Store()
+		if store.Released() != store.Head() {
+			return false
+		}
+		_, refused := spoken(store.Head().Tree, refusedBy)
+		_, fails := spoken(store.Head().Tree, failsAt)
+		if !refused && !fails {
+			return true
+		}
+		r.submit(r.repair())
+		r.Run(r.Now() + 3*time.Second)
+		return false
+	})
+	if !ok {
+		f.Find("%v after the troubles a rollout is still under way, or what is faulty is released", mostMending)
+	}
+}
+
 // lastChange submits one more change, and finds how long after its commitment it is in force everywhere.
 func (r *run) lastChange() time.Duration {
 	f := r.Fleet
 	var ref content.Ref
 	var committedAt time.Duration
-	f.Submit(r.repair(), func(made content.Ref, err error) {
+	f.Submit(Change(r.size, r.rng), func(made content.Ref, err error) {
 		if err != nil {
 			f.Find("the last change: %v", err)
 		}
--- a/internal/rollout/conductor.go
+++ b/internal/rollout/conductor.go
@@ -13,17 +13,16 @@
 // Policy is how a leader moves rollouts on. The zero Policy has the values of DefaultPolicy.
 type Policy struct {
 	Settle       time.Duration // at most, until all control machines have told whom a change touches
-	Soak         time.Duration // at each stage, once its gateways have it in force
-	OnePatience  time.Duration // until another gateway is tried where one does not answer
-	ZonePatience time.Duration // until half of a zone is enough
-	AllPatience  time.Duration // until nine in ten are enough for the next rollout to begin
+	Soak         time.Duration // at each stage, once nine in ten of its gateways have it in force
+	OnePatience  time.Duration // until another gateway is tried where one does not answer; longer with each that was tried
+	ZonePatience time.Duration // until half of a zone is enough, in place of nine in ten
 	StopShare    float64       // of the gateways that answered and are touched: more failures stop a rollout
 }
 
 // DefaultPolicy is for a change in force everywhere within 8 s.
 func DefaultPolicy() Policy {
-	return Policy{Settle: 300 * time.Millisecond, Soak: 500 * time.Millisecond, OnePatience: 1500 * time.Millisecond, ZonePatience: time.Second,
-		AllPatience: 800 * time.Millisecond, StopShare: 0.1}
+	return Policy{Settle: 300 * time.Millisecond, Soak: 500 * time.Millisecond, OnePatience: 800 * time.Millisecond, ZonePatience: time.Second,
+		StopShare: 0.1}
 }
 
 // Limits of a stage that gets no further.
@@ -31,6 +30,7 @@
 	zoneAtMost       = 10 * time.Second // then a zone of which less than half has answered stops the rollout
 	allAtMost        = 10 * time.Second // then the rollout is over, with those that lag
 	proposeAgain     = time.Second
+	peersUnknown     = 1500 * time.Millisecond // after it began to lead, a leader goes on without those that have not reported
 	nineInTen        = 0.9
 	halfOfThem       = 0.5
 	reasonNoAnswer   = "less than half of the zone has answered"
@@ -50,7 +50,7 @@
 type conductor struct {
 	policy     Policy
 	peers      map[uint64]*peer
-	told       uint64 // by a follower: the version that its last report was about
+	untold     int // reports of a follower that have to say what they are about
 	key        stageKey
 	since      time.Duration
 	goodSince  time.Duration // 0 while the stage is not done
@@ -123,19 +123,19 @@
 	if reason, stop := t.failure(r.Stage, d.policy.StopShare); stop {
 		return Command{Kind: Stop, Version: r.Version, Reason: reason[:min(len(reason), wire.MaxReason)]}, true
 	}
-	if t.acked < t.live {
+	enough := func(share float64) bool { return float64(t.acked) >= share*float64(t.live) }
+	if !enough(nineInTen) {
 		d.goodSince = 0
 	} else if d.goodSince == 0 {
 		d.goodSince = c.now
 	}
 	soaked := d.goodSince != 0 && c.now-d.goodSince >= d.policy.Soak
-	enough := func(share float64) bool { return float64(t.acked) >= share*float64(t.live) }
 	switch r.Stage {
 	case OneGateway:
 		if t.live > 0 && soaked {
 			return Command{Kind: MoveStage, Version: r.Version, Stage: OneZone, Canary: r.Canary, Zone: t.zone}, true
 		}
-		if lasted >= d.policy.OnePatience && (t.live == 0 || t.acked == 0) {
+		if lasted >= d.policy.OnePatience*time.Duration(max(1, len(d.tried))) && t.acked == 0 {
 			return c.beginStage(gateways, r), true
 		}
 	case OneZone:
@@ -146,7 +146,7 @@
 			return Command{Kind: Stop, Version: r.Version, Reason: reasonNoAnswer}, true
 		}
 	case AllGateways:
-		if soaked || lasted >= d.policy.AllPatience && enough(nineInTen) || lasted >= allAtMost {
+		if soaked || lasted >= allAtMost {
 			return Command{Kind: MoveStage, Version: r.Version, Stage: released}, true
 		}
 	}
@@ -156,7 +156,7 @@
 // allKnown tells whether each control machine has reported to this leader; one that has not for long is taken for dead.
 func (c *Controller) allKnown() bool {
 	status := c.log.Status()
-	return len(c.conductor.peers)+1 >= len(status.Voters)+len(status.Learners) || c.now-c.conductor.leadSince >= c.conductor.policy.OnePatience
+	return len(c.conductor.peers)+1 >= len(status.Voters)+len(status.Learners) || c.now-c.conductor.leadSince >= peersUnknown
 }
 
 // allReported tells whether each control machine that is heard of has told whom the version touches.
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -20,6 +20,7 @@
 	silentAfter       = 5 * time.Second  // without a word of a gateway
 	forgottenAfter    = 30 * time.Second // the same; then it is no subscriber any more
 	reportsEvery      = 2 * time.Second  // to the leader, of all gateways
+	reportTimes       = 3                // that each change is reported, a tick apart: one may get lost
 	pageSize          = 32 << 10
 	pushSize          = 8 << 10 // of changes that are sent with the offer
 	mostSnapshot      = 32 << 20
@@ -65,12 +66,12 @@
 	state         wire.State
 	heard         time.Duration
 
-	offered  *Version
-	attempt  uint64
-	again    time.Duration // when it is offered again; 0 where nothing is awaited
-	pause    time.Duration // until then the next time
-	reported bool          // to the leader, as it is
-	touched  bool          // by the version that c.subject is
+	offered *Version
+	attempt uint64
+	again   time.Duration // when it is offered again; 0 where nothing is awaited
+	pause   time.Duration // until then the next time
+	untold  int           // reports to the leader that have to say it as it is
+	touched bool          // by the version that c.subject is
 }
 
 // Controller is a control machine: a voter or standby of the replicated log that serves subscribed gateways, and moves rollouts on while it leads.
@@ -228,7 +229,8 @@
 		c.order = slices.Insert(c.order, at, m.Gateway)
 	}
 	services := slices.Compact(slices.Sorted(slices.Values(m.Services)))
-	s = &subscriber{gateway: m.Gateway, zone: m.Zone, link: link, session: m.Session, services: services, state: m.State, heard: c.now}
+	s = &subscriber{gateway: m.Gateway, zone: m.Zone, link: link, session: m.Session, services: services, state: m.State, heard: c.now,
+		untold: reportTimes}
 	c.subscribers[m.Gateway] = s
 	s.touched = c.subject.touches(s)
 	c.answer(s)
@@ -251,7 +253,7 @@
 
 func (c *Controller) acknowledge(s *subscriber, state wire.State) {
 	if s.state != state {
-		s.state, s.reported = state, false
+		s.state, s.untold = state, reportTimes
 	}
 }
 
--- a/internal/rollout/reports.go
+++ b/internal/rollout/reports.go
@@ -34,13 +34,14 @@
 	if c.subject.services != nil && c.subject.from == store.released.Ref.Number && c.subject.to == to.Ref.Number {
 		return
 	}
+	c.conductor.untold = reportTimes
 	c.subject = subject{from: store.released.Ref.Number, to: to.Ref.Number, services: make(map[string]bool)}
 	for _, name := range content.Touched(store.released.Tree, to.Tree) {
 		c.subject.services[name] = true
 	}
 	for _, s := range c.subscribers {
 		if touched := c.subject.touches(s); touched != s.touched {
-			s.touched, s.reported = touched, false
+			s.touched, s.untold = touched, reportTimes
 		}
 	}
 }
@@ -55,15 +56,15 @@
 	whole := c.leader != status.Leader || c.now >= c.reportsAt
 	m := &wire.PeerReports{Head: c.subject.to, Whole: whole}
 	for _, name := range c.order {
-		if s := c.subscribers[name]; whole || !s.reported {
-			s.reported = true
+		if s := c.subscribers[name]; whole || s.untold > 0 {
+			s.untold = max(0, s.untold-1)
 			m.Gateways = append(m.Gateways, c.reportOf(s))
 		}
 	}
-	if !whole && len(m.Gateways) == 0 && c.conductor.told == c.subject.to {
+	if !whole && len(m.Gateways) == 0 && c.conductor.untold == 0 {
 		return
 	}
-	c.conductor.told = c.subject.to
+	c.conductor.untold = max(0, c.conductor.untold-1)
 	if whole {
 		c.leader, c.reportsAt = status.Leader, c.now+reportsEvery
 	}
--- a/internal/rollout/store.go
+++ b/internal/rollout/store.go
@@ -147,18 +147,20 @@
 	s.versions = slices.Concat(old, s.versions[excess:])
 }
 
-// moveStage begins the rollout of the newest version, or moves the one under way on. A stage may be begun again with another gateway or zone.
+// moveStage begins the rollout of a version that is newer than the released one, or moves the one under way on. A stage may be begun again with another gateway or zone.
 func (s *Store) moveStage(c *Command) (content.Ref, error) {
 	if len(c.Canary) > content.MaxName || len(c.Zone) > content.MaxName {
 		return content.Ref{}, ErrCommand
 	}
 	wanted := s.rollout.Version
 	if wanted == 0 {
-		wanted = s.Head().Ref.Number
+		wanted = c.Version // another may have become the newest while the command was under way
 	}
 	switch {
 	case c.Version != wanted || c.Version <= s.released.Ref.Number:
-		return content.Ref{}, &FieldError{"version", c.Version, wanted, ErrStage}
+		return content.Ref{}, &FieldError{"version", c.Version, max(wanted, s.released.Ref.Number+1), ErrStage}
+	case s.Version(c.Version) == nil:
+		return content.Ref{}, &FieldError{"version", c.Version, s.Head().Ref.Number, ErrNoVersion}
 	case c.Stage < OneGateway || c.Stage > released || c.Stage == Stopped || s.rollout.Stage == Stopped,
 		c.Stage < s.rollout.Stage, c.Stage == released && s.rollout.Stage != AllGateways:
 		return content.Ref{}, &FieldError{"stage", uint64(c.Stage), uint64(s.rollout.Stage) + 1, ErrStage}
