--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -3,6 +3,7 @@
 package consensus
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -20,9 +21,9 @@
 const (
 	// TickEvery is how often Tick is to be called.
 	TickEvery     = 100 * time.Millisecond
-	electionTicks = 10 // without a leader's word before it is doubted; each voter waits up to twice that
-	keepEntries   = 2000
+	electionTicks = 10   // without a leader's word before it is doubted; each voter waits up to twice that
 	snapshotEvery = 1000 // applied entries
+	keepEntries   = 2 * snapshotEvery
 	mostMessage   = 1 << 20
 	caughtUp      = 100 // entries that a learner may lack before it is promoted
 )
@@ -69,6 +70,7 @@
 	Kept         *Kept    // of the process before, or nil
 	Seed         uint64
 	MostSnapshot int // bytes that a machine's snapshot may have beyond an ordinary message
+	SnapshotEach int // entries applied between two snapshots, of which twice as many are kept; 0: 1,000
 }
 
 // Message is one to be sent.
@@ -88,6 +90,7 @@
 	applied uint64
 	kept    uint64 // applied index of the last snapshot
 	most    int    // bytes of a message
+	each    uint64 // entries between two snapshots
 
 	now     time.Duration
 	silent  int // ticks without a leader's word
@@ -109,7 +112,7 @@
 		return nil, err
 	}
 	n := &Log{id: cfg.ID, store: raft.NewMemoryStorage(), rng: rand.New(rand.NewPCG(cfg.Seed, cfg.ID)), machine: machine, now: now,
-		most: 2*mostMessage + cfg.MostSnapshot, replace: make(map[uint64]uint64)}
+		most: 2*mostMessage + cfg.MostSnapshot, each: uint64(cmp.Or(cfg.SnapshotEach, snapshotEvery)), replace: make(map[uint64]uint64)}
 	if err := n.restore(cfg); err != nil {
 		return nil, err
 	}
@@ -431,7 +434,7 @@
 
 // snapshot has the log begin later, where it has grown; and after each change of the voters, for who is new takes no snapshot that does not know it.
 func (n *Log) snapshot(keep func(Kept) error) error {
-	if n.failed || !n.changed && n.applied < n.kept+snapshotEvery {
+	if n.failed || !n.changed && n.applied < n.kept+n.each {
 		return nil
 	}
 	n.changed = false
@@ -448,8 +451,8 @@
 		return fmt.Errorf("%w: %w", ErrFailed, err)
 	}
 	n.kept = n.applied
-	if first, _ := n.store.FirstIndex(); n.applied > keepEntries && n.applied-keepEntries >= first {
-		_ = n.store.Compact(n.applied - keepEntries) // within what is there
+	if first, _ := n.store.FirstIndex(); n.applied > 2*n.each && n.applied-2*n.each >= first {
+		_ = n.store.Compact(n.applied - 2*n.each) // within what is there
 	}
 	return nil
 }
--- a/internal/lab/mutants/main.go
+++ b/internal/lab/mutants/main.go
@@ -22,6 +22,9 @@
 	edits   []edit
 }
 
+// rollouts is the profile of defects that the rollouts' own play is to catch, not that of whole gateways.
+const rollouts = "rollouts"
+
 // mostSeeds bounds the search; a mutant that survives them is a gap of the checks.
 const mostSeeds = 300
 
@@ -109,6 +112,23 @@
 		one("turns forgotten at each look", "shares", "internal/gateway/shares.go", "p.holder.Forget(isCold)", "p.holder.Forget(func(uint64) bool { return false })"),
 		one("warm hosts left out", "shares", "internal/gateway/shares.go", "		case h.State != thymebend.Ready:", "		case h.State != thymebend.Ready || h.Born > 0 && !g.cold(h):"),
 		one("tell every figure at once", "shares", "internal/signals/signals.go", "	if !due {\n		return nil, false", "	if !due && s.Demand < 0 {\n		return nil, false"),
+		one("take an older version after a newer one", rollouts, "internal/rollout/agent.go", "	case ref.Number < a.inForce.Number || ref.Term < a.inForce.Term:\n", "	case false:\n"),
+		{"install before the last page", rollouts, []edit{
+			{"internal/rollout/agent.go", "	case m.Last:\n", "	case p.bytes > 1200 || m.Last:\n"},
+			{"internal/rollout/agent.go", "	if err != nil || tree.Hash() != p.scope {", "	if err != nil {"}}},
+		one("hold a refused version for in force", rollouts, "internal/rollout/agent.go", "		a.refuse(ref, next.attempt, err.Error())\n		return\n", "		a.refuse(ref, next.attempt, err.Error())\n"),
+		one("forget the last good version at a restart", rollouts, "internal/rollout/agent.go", "	if cfg.Kept != nil {\n", "	if false {\n"),
+		one("offer a stopped version", rollouts, "internal/rollout/controller.go", "	if r.Stage == AllGateways || ", "	if r.Stage == AllGateways || r.Stage == Stopped || "),
+		one("offer to other zones", rollouts, "internal/rollout/controller.go", "r.Stage == OneZone && s.zone == r.Zone || ", "r.Stage == OneZone || "),
+		one("believe an old stage after a stall", rollouts, "internal/rollout/controller.go", "	if c.now < c.quietUntil {\n		return false\n	}\n	status := c.log.Status()\n	return status.Leads || status.Quorum && c.now-c.leaderHeard < leaderHeardWithin\n", "	return true\n"),
+		one("go on with the session after a stall", rollouts, "internal/rollout/agent.go", "	if stalled {\n", "	if false {\n"),
+		one("stop nothing", rollouts, "internal/rollout/conductor.go", "	if t.failed == 0 {\n", "	if t.failed >= 0 {\n"),
+		one("a stop that stops nothing", rollouts, "internal/rollout/store.go", "		s.rollout.Stage, s.rollout.Reason = Stopped, c.Reason\n", "		s.rollout.Reason = c.Reason\n"),
+		one("leave removals out of deltas", rollouts, "internal/rollout/content/diff.go", "			remove(before[0])\n", ""),
+		one("send nothing again", rollouts, "internal/rollout/agent.go", "	a.sendAt = a.now + a.jitter(answerWithin)\n", "	a.sendAt = a.now + time.Hour\n"),
+		one("give no sign of life", rollouts, "internal/rollout/agent.go", "	a.sendAt = a.now + a.jitter(reportEvery)\n", "	a.sendAt = a.now + time.Hour\n"),
+		one("report without a pause", rollouts, "internal/rollout/agent.go", "	a.sendAt = a.now + a.jitter(reportEvery)\n", "	a.sendAt = a.now + a.jitter(reportEvery/100)\n"),
+		one("a snapshot without its rollout", rollouts, "internal/rollout/snapshot.go", "r.Version), uint64(r.Stage))", "0), 0)"),
 		one("end executions at a host without their link", "bad-hosts", "internal/gateway/fromservers.go",
 			"		g.unbind(x)\n		g.dropLink(l, end)", "		g.unbind(x)\n		g.pool.Rest(l)"),
 	}
@@ -183,6 +203,12 @@
 	}
 	const batch = 5
 	for from := 1; from <= mostSeeds; from += batch {
+		if m.profile == rollouts {
+			if seed, rule, found := playRollouts(dir, from, batch); found {
+				return say("%d | %s", seed, rule), true
+			}
+			continue
+		}
 		report := filepath.Join(dir, "report.json")
 		run := exec.Command("./mutant", "seeds", "--from", fmt.Sprint(from), "--count", fmt.Sprint(batch), "--profile", m.profile,
 			"--jobs", "1", "--json", report)
@@ -207,3 +233,19 @@
 	}
 	return say("not in %d | -", mostSeeds), false
 }
+
+// playRollouts plays some seeds of the rollouts' play, and finds the first that breaks a rule. A crash breaks one too.
+func playRollouts(dir string, from, count int) (seed int, rule string, found bool) {
+	run := exec.Command("./mutant", "rollouts", "--from", fmt.Sprint(from), "--seeds", fmt.Sprint(count), "--jobs", "1")
+	run.Dir = dir
+	out, err := run.Output()
+	if err == nil {
+		return 0, "", false
+	}
+	first, _, _ := strings.Cut(string(out), "\n")
+	if _, err := fmt.Sscanf(first, "seed %d:", &seed); err != nil {
+		return from, "crash", true
+	}
+	_, rule, _ = strings.Cut(first, " s: ")
+	return seed, rule, true
+}
--- a/internal/lab/rolloutsim/fleet.go
+++ b/internal/lab/rolloutsim/fleet.go
@@ -22,6 +22,8 @@
 	Regions   int
 	Services  func(gateway int) []string // that a gateway serves; nil for all
 	Policy    rollout.Policy
+	PageBytes int // see rollout.ControllerConfig
+	Snapshots int // entries between two of the log's; 0 for the default
 	Seed      uint64
 	Installed func(g *Gateway, ref content.Ref) // is told of each version in force, or nil
 }
@@ -92,6 +94,23 @@
 	f.Findings = append(f.Findings, fmt.Sprintf("%.3f s: ", f.clock.Now().Seconds())+fmt.Sprintf(format, args...))
 }
 
+// InForce counts the gateways that are up, and those of them that have a version or a newer one in force.
+func (f *Fleet) InForce(number uint64) (have, up int) {
+	for _, g := range f.Gateways {
+		if !g.up {
+			continue
+		}
+		up++
+		if g.Running.Ref.Number >= number {
+			have++
+		}
+	}
+	return have, up
+}
+
+// Newest is the highest version that was seen to be committed.
+func (f *Fleet) Newest() uint64 { return f.ledger.newest }
+
 // StartControl starts a control machine's process with what it has kept.
 func (f *Fleet) StartControl(i int) {
 	c := f.Controls[i]
@@ -100,7 +119,7 @@
 	}
 	c.start()
 	controller, err := rollout.NewController(rollout.ControllerConfig{ID: c.ID, Voters: []uint64{1, 2, 3}, Standbys: []uint64{4}, Kept: c.disk.Kept(),
-		Seed: f.rng.Uint64(), Policy: f.cfg.Policy}, f.clock.Now())
+		Seed: f.rng.Uint64(), Policy: f.cfg.Policy, PageBytes: f.cfg.PageBytes, SnapshotEach: f.cfg.Snapshots}, f.clock.Now())
 	if err != nil {
 		panic(err) // the configuration is ours
 	}
--- a/internal/lab/rolloutsim/play.go
+++ b/internal/lab/rolloutsim/play.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"thymebend/internal/lab/timeline"
@@ -87,7 +88,8 @@
 		}
 		return list
 	}
-	r := &run{World: NewWorld(Config{Name: "play", Gateways: gateways, Zones: 7, Regions: 2, Services: services, Seed: seed}), rng: rng, size: size}
+	r := &run{World: NewWorld(Config{Name: "play", Gateways: gateways, Zones: 7, Regions: 2, Services: services, Seed: seed,
+		PageBytes: 1 << 10, Snapshots: 40}), rng: rng, size: size}
 	r.begin()
 	r.drawTroubles()
 	r.drawChanges()
@@ -230,13 +232,28 @@
 	return []content.Change{c}
 }
 
+// guest has a tenant come, or go where it is there.
+func (r *run) guest() []content.Change {
+	service := ServiceName(r.rng.IntN(r.size.Services))
+	c := content.Change{Entry: content.Entry{Kind: content.Tenant, Service: service, Name: "guest", Body: body(r.rng)}}
+	if leader := r.Fleet.Leader(); leader != nil {
+		entries := leader.Controller.Store().Head().Tree.Entries(service)
+		c.Remove = slices.ContainsFunc(entries, func(e content.Entry) bool { return e.Name == c.Entry.Name })
+	}
+	return []content.Change{c}
+}
+
 func (r *run) drawChanges() {
 	pause := 300*time.Millisecond + r.upTo(4*time.Second)
 	faulty := r.rng.IntN(2) == 0
 	for at := begins; at < begins+troubles; at += pause/2 + r.upTo(pause) {
 		bad := faulty && r.rng.IntN(6) == 0
 		r.At(at, func() {
-			if !bad {
+			switch {
+			case r.rng.IntN(4) == 0:
+				r.submit(r.guest())
+				return
+			case !bad:
 				r.submit(Change(r.size, r.rng))
 				return
 			}
@@ -293,9 +310,9 @@
 	if r.mend(); len(f.Findings) == 0 {
 		r.out.Force = r.lastChange()
 	}
-	r.Run(r.Now() + 5*time.Second)
+	r.until(mostMending, func() bool { return r.Now()-f.ledger.versions[f.ledger.newest].at >= forceWithin }) // some author may still be at it
 	if wrong := f.behind(f.ledger.newest); wrong != "" && len(f.Findings) == 0 {
-		f.Find("5 s after the last change: %s", wrong)
+		f.Find("%v after the newest version was committed: %s", forceWithin, wrong)
 	}
 	r.sum()
 	return r.out
@@ -388,6 +405,9 @@
 		if counts.Forked > 0 {
 			f.Find("%s was offered another content of a version that it had", g.Name)
 		}
+		if counts.Mismatched > 0 {
+			f.Find("%s has collected what was not its version %d times", g.Name, counts.Mismatched)
+		}
 	}
 	for _, v := range f.ledger.versions {
 		if v.stoppedAt != 0 {
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"errors"
 	"maps"
 	"slices"
@@ -22,7 +23,8 @@
 	reportsEvery      = 2 * time.Second  // to the leader, of all gateways
 	reportTimes       = 3                // that each change is reported, a tick apart: one may get lost
 	pageSize          = 32 << 10
-	pushSize          = 8 << 10 // of changes that are sent with the offer
+	pushShare         = 4 // of a page: the part of it that is sent with the offer
+	mostSubscribers   = 2048
 	mostSnapshot      = 32 << 20
 	mostResults       = 1000 // commands of this control machine that have no result yet
 )
@@ -35,6 +37,8 @@
 	Kept            *consensus.Kept
 	Seed            uint64
 	MostSubscribers int // 0: 2,048
+	PageBytes       int // of changes in a page; 0: 32 KiB. A quarter of it is sent with the offer
+	SnapshotEach    int // entries of the log between two snapshots; 0: 1,000
 	Policy          Policy
 }
 
@@ -95,11 +99,11 @@
 
 // NewController starts a control machine.
 func NewController(cfg ControllerConfig, now time.Duration) (*Controller, error) {
-	if cfg.MostSubscribers == 0 {
-		cfg.MostSubscribers = 2048
-	}
+	cfg.MostSubscribers = cmp.Or(cfg.MostSubscribers, mostSubscribers)
+	cfg.PageBytes = cmp.Or(cfg.PageBytes, pageSize)
 	m := &machine{store: NewStore(), waiting: make(map[uint64]bool)}
-	log, err := consensus.NewLog(consensus.Config{ID: cfg.ID, Voters: cfg.Voters, Learners: cfg.Standbys, Kept: cfg.Kept, Seed: cfg.Seed, MostSnapshot: mostSnapshot}, m, now)
+	log, err := consensus.NewLog(consensus.Config{ID: cfg.ID, Voters: cfg.Voters, Learners: cfg.Standbys, Kept: cfg.Kept, Seed: cfg.Seed, MostSnapshot: mostSnapshot,
+		SnapshotEach: cfg.SnapshotEach}, m, now)
 	if err != nil {
 		return nil, err
 	}
@@ -296,7 +300,7 @@
 	}
 	s.pause = offerAgainAfter
 	s.again = c.now + s.pause
-	page := c.page(s, v, s.state.InForce, content.Cursor{}, pushSize)
+	page := c.page(s, v, s.state.InForce, content.Cursor{}, c.cfg.PageBytes/pushShare)
 	if page.Last {
 		c.tell(s.link, page)
 		return
@@ -340,7 +344,7 @@
 	if s.again != 0 {
 		s.again = c.now + offerAgainMost
 	}
-	c.tell(s.link, c.page(s, v, m.From, m.After, pageSize))
+	c.tell(s.link, c.page(s, v, m.From, m.After, c.cfg.PageBytes))
 }
 
 // serve offers what has changed, and again what was not acknowledged; it forgets gateways that are silent for long.
