--- a/internal/rollout/content/content.go
+++ b/internal/rollout/content/content.go
@@ -267,7 +267,7 @@
 			e = newEditor(t.Entries(c.Entry.Service), i)
 			edits[c.Entry.Service] = e
 		}
-		if !e.apply(c) {
+		if !e.apply(i, c) {
 			return nil, &ChangeError{i, "name", c.Entry.Name, ErrNotPresent}
 		}
 	}
@@ -280,7 +280,7 @@
 		case entries[0].Kind != Service && t.sections[name] == nil:
 			return nil, &ChangeError{e.first, "service", name, ErrUnknownService}
 		case entries[0].Kind != Service:
-			return nil, &ChangeError{e.first, "service", name, ErrServiceInUse}
+			return nil, &ChangeError{e.removal, "service", name, ErrServiceInUse}
 		case len(entries) > MaxEntries:
 			return nil, &ChangeError{e.first, "service", name, ErrTooLarge}
 		default:
@@ -301,9 +301,10 @@
 
 // editor collects the changes of one service.
 type editor struct {
-	before []Entry
-	edits  map[key]*Entry // nil where the entry is removed
-	first  int            // index of the first change
+	before  []Entry
+	edits   map[key]*Entry // nil where the entry is removed
+	first   int            // index of the first change
+	removal int            // index of the change that removes the service's own entry
 }
 
 func newEditor(before []Entry, first int) *editor {
@@ -311,7 +312,7 @@
 }
 
 // apply takes one change, and reports false where it removes what is not there.
-func (e *editor) apply(c *Change) bool {
+func (e *editor) apply(index int, c *Change) bool {
 	k := key{c.Entry.Kind, c.Entry.Name}
 	if !c.Remove {
 		entry := c.Entry
@@ -327,7 +328,9 @@
 			return false
 		}
 	}
-	e.edits[k] = nil
+	if e.edits[k] = nil; k.kind == Service {
+		e.removal = index
+	}
 	return true
 }
 
