--- a/internal/lab/rolloutsim/play_test.go
+++ b/internal/lab/rolloutsim/play_test.go
@@ -1,13 +1,43 @@
 package rolloutsim
 
-import "testing"
+import (
+	"reflect"
+	"testing"
+	"time"
+)
 
 func TestPlay(t *testing.T) {
-	for seed := range uint64(20) {
-		o := Play(seed + 1)
+	stops, refused, fenced, stalls, repeated := 0, uint64(0), uint64(0), uint64(0), uint64(0)
+	for seed := uint64(1); seed <= 30; seed++ {
+		o := Play(seed)
 		for _, f := range o.Findings[:min(3, len(o.Findings))] {
-			t.Errorf("seed %d: %s", seed+1, f)
+			t.Errorf("seed %d: %s", seed, f)
 		}
-		t.Logf("seed %d: %v", seed+1, o)
+		stops += o.Stops
+		refused, fenced, stalls, repeated = refused+o.Refused, fenced+o.Fenced, stalls+o.Stalls, repeated+o.Repeated
+	}
+	t.Logf("%d stops, %d refused, %d fenced, %d stalls, %d repeated frames", stops, refused, fenced, stalls, repeated)
+	if stops == 0 || refused == 0 || fenced == 0 || stalls == 0 || repeated == 0 {
+		t.Error("the runs do not reach what they are there for")
+	}
+}
+
+func TestASeedIsOneRun(t *testing.T) {
+	if a, b := Play(7), Play(7); !reflect.DeepEqual(a, b) {
+		t.Errorf("%v, then %v", a, b)
+	}
+}
+
+// A small fleet with changes and restarts pressed into it: what is held are bytes and times of the virtual clock, which are the same on every machine.
+func TestMeasureHoldsTheSlopes(t *testing.T) {
+	c := Case{Gateways: 64, Zones: 7, Regions: 2, Size: Size{Services: 40, Routes: 200, Tenants: 800}, ServicesEach: 8, Changes: 30, Restarts: 20, Failures: 2,
+		Length: 30 * time.Second, Loss: 0.05, Seed: 1}
+	f := Measure(c)
+	t.Logf("%+v", f)
+	if len(f.Findings) > 0 || f.Unfinished > 0 || f.Late > 0 || f.Stopped > 0 {
+		t.Errorf("%v, %d unfinished, %d late, %d stopped", f.Findings, f.Unfinished, f.Late, f.Stopped)
+	}
+	if f.Quiet > 150 || f.Mean > 1000 || f.Single[2] > 4*time.Second || f.Subscribers > 40 {
+		t.Errorf("%.0f bytes a second at rest, %.0f in the run, a change alone %v, %d subscribers", f.Quiet, f.Mean, f.Single, f.Subscribers)
 	}
 }
--- /dev/null
+++ b/internal/rollout/agent_test.go
@@ -0,0 +1,297 @@
+package rollout
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"thymebend/internal/consensus"
+	"thymebend/internal/rollout/content"
+	"thymebend/internal/rollout/wire"
+)
+
+func machinesOf(n int) (list []ControlMachine) {
+	for i := range n {
+		list = append(list, ControlMachine{ID: uint64(i + 1), Region: fmt.Sprint("r", i/2)})
+	}
+	return list
+}
+
+func newTestAgent(t *testing.T, cfg AgentConfig) *Agent {
+	t.Helper()
+	if cfg.Gateway == "" {
+		cfg.Gateway = "g"
+	}
+	if cfg.Controllers == nil {
+		cfg.Controllers = machinesOf(4)
+	}
+	a, err := NewAgent(cfg, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+// version words one of a tree.
+func version(t *testing.T, number uint64, tree *content.Tree, changes ...content.Change) *Version {
+	t.Helper()
+	next, err := tree.Apply(changes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &Version{Ref: content.Ref{Term: 1, Number: number, Hash: next.Hash()}, Tree: next}
+}
+
+// whole words a page with all of a version.
+func whole(a *Agent, v *Version) *wire.Page {
+	changes, _, _ := content.Page(content.Empty(), v.Tree, v.Tree.Services(), content.Cursor{}, maxInt)
+	return &wire.Page{Session: a.session, Target: v.Ref, Scope: v.Tree.Hash(), Last: true, Changes: changes}
+}
+
+// take installs what an agent hands over, and returns that it did.
+func take(a *Agent, now time.Duration, err error) bool {
+	out := a.Take()
+	if out.Install != nil {
+		a.Installed(now, out.Install.Ref, err)
+	}
+	return out.Install != nil
+}
+
+func TestAgentsSpreadOverControlMachines(t *testing.T) {
+	const agents = 870
+	first, second := make(map[uint64]int), make(map[uint64]int)
+	for i := range agents {
+		cfg := AgentConfig{Gateway: fmt.Sprintf("g-%04d", i), Region: fmt.Sprint("r", i%2), Controllers: machinesOf(4)}
+		order := controllerOrder(cfg)
+		if near := order[0] <= 2; near != (cfg.Region == "r0") || (order[1] <= 2) != near {
+			t.Fatalf("%s of %s asks %v", cfg.Gateway, cfg.Region, order)
+		}
+		first[order[0]]++
+		if order[0] == 1 {
+			second[order[1]]++
+		}
+	}
+	for id, n := range first {
+		if n < agents/4-40 || n > agents/4+40 {
+			t.Errorf("control machine %d is the first of %d", id, n)
+		}
+	}
+	if len(first) != 4 || second[2] != first[1] {
+		t.Errorf("%v, after the first is lost %v", first, second)
+	}
+}
+
+func TestAnAgentGoesOnFromSilentMachinesWithBackoff(t *testing.T) {
+	a := newTestAgent(t, AgentConfig{Seed: 5})
+	var asked []uint64
+	var pauses []time.Duration
+	for last := time.Duration(0); a.Next() < 40*time.Second; {
+		for _, m := range a.Take().Messages {
+			if len(asked) == 0 || asked[len(asked)-1] != m.To {
+				asked, pauses = append(asked, m.To), append(pauses, a.now-last)
+				last = a.now
+			}
+		}
+		a.Advance(a.Next())
+	}
+	if len(asked) < 9 || !slices.Equal(asked[:4], asked[4:8]) || len(slices.Compact(slices.Sorted(slices.Values(asked[:4])))) != 4 {
+		t.Errorf("asked %v", asked)
+	}
+	for i, p := range pauses {
+		if most := mostTries*answerWithin*11/10 + 3*backoffMost/2; p > most {
+			t.Errorf("pause %d of %v", i, p)
+		}
+	}
+	if a.Counts().Unreachable < 2 {
+		t.Errorf("%+v", a.Counts())
+	}
+}
+
+func TestTheFence(t *testing.T) {
+	a := newTestAgent(t, AgentConfig{})
+	one := version(t, 1, content.Empty(), service("a", "1"))
+	five := version(t, 5, one.Tree, service("a", "5"))
+	five.Ref.Term = 3
+	from, _ := a.Controller()
+	a.Hear(0, from, whole(a, five))
+	if !take(a, 0, nil) || a.InForce().Ref != five.Ref {
+		t.Fatalf("%v in force", a.InForce().Ref)
+	}
+	fork := version(t, 5, content.Empty(), service("a", "other"))
+	fork.Ref.Term = 3
+	oldTerm := version(t, 6, five.Tree, service("a", "6"))
+	stranger := whole(a, version(t, 7, five.Tree, service("a", "7")))
+	stranger.Session++
+	for name, m := range map[string]wire.Message{"an older one": whole(a, one), "a fork": whole(a, fork), "an older term": whole(a, oldTerm), "another session": stranger,
+		"an offer of an older one": &wire.Offer{Session: a.session, Target: one.Ref}} {
+		if a.Hear(0, from, m); take(a, 0, nil) || a.InForce().Ref != five.Ref {
+			t.Errorf("%s: %v in force", name, a.InForce().Ref)
+		}
+	}
+	a.Hear(0, from+1, whole(a, version(t, 7, five.Tree, service("a", "7"))))
+	if c := a.Counts(); take(a, 0, nil) || c.Fenced != 3 || c.Forked != 1 || c.Stale != 2 {
+		t.Errorf("%+v", c)
+	}
+	kept := a.InForce()
+	next := newTestAgent(t, AgentConfig{Kept: &kept, Session: 1 << 20})
+	from, _ = next.Controller()
+	if next.Hear(0, from, whole(next, one)); take(next, 0, nil) || next.InForce().Ref != five.Ref {
+		t.Errorf("after a restart: %v in force", next.InForce().Ref)
+	}
+}
+
+func TestARefusedVersionIsTriedAgainInAnotherAttemptOnly(t *testing.T) {
+	a := newTestAgent(t, AgentConfig{})
+	from, _ := a.Controller()
+	one := version(t, 1, content.Empty(), service("a", "1"))
+	a.Hear(0, from, whole(a, one))
+	take(a, 0, nil)
+	page := whole(a, version(t, 2, one.Tree, service("a", "2")))
+	page.Attempt = 1
+	a.Hear(0, from, page)
+	take(a, 0, errors.New("line 3: no such pool"))
+	if s := a.state(); s.InForce != one.Ref || s.Verdict != wire.Refused || s.Version != 2 || s.Reason != "line 3: no such pool" {
+		t.Errorf("%+v", s)
+	}
+	if a.Hear(0, from, page); take(a, 0, nil) {
+		t.Error("tried again in the same attempt")
+	}
+	page.Attempt = 2
+	if a.Hear(0, from, page); !take(a, 0, nil) || a.state().Verdict != wire.Fine || a.InForce().Ref != page.Target {
+		t.Errorf("%+v", a.state())
+	}
+}
+
+func TestContentThatIsNotItsVersionsIsNotTaken(t *testing.T) {
+	a := newTestAgent(t, AgentConfig{})
+	from, _ := a.Controller()
+	page := whole(a, version(t, 1, content.Empty(), service("a", "1")))
+	page.Scope[0]++
+	if a.Hear(0, from, page); take(a, 0, nil) || a.Counts().Mismatched != 1 {
+		t.Errorf("%+v", a.Counts())
+	}
+	if to, _ := a.Controller(); to == from {
+		t.Error("asks the same control machine for the whole again")
+	}
+}
+
+// lone is a control machine that leads alone.
+func lone(t *testing.T, cfg ControllerConfig) (c *Controller, now time.Duration) {
+	t.Helper()
+	cfg.ID, cfg.Voters = 1, []uint64{1}
+	c, err := NewController(cfg, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 30 {
+		now += consensus.TickEvery
+		c.Advance(now)
+		run(t, c)
+	}
+	return c, now
+}
+
+func run(t *testing.T, c *Controller) ControllerOutput {
+	t.Helper()
+	out, err := c.Take((&consensus.Memory{}).Keep)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// propose has a change become a version.
+func propose(t *testing.T, c *Controller, now time.Duration, command Command) Result {
+	t.Helper()
+	if err := c.Propose(now, command); err != nil {
+		t.Fatal(err)
+	}
+	out := run(t, c)
+	if len(out.Results) != 1 || out.Results[0].ID != command.ID {
+		t.Fatalf("results %+v", out.Results)
+	}
+	return out.Results[0]
+}
+
+func TestAControlMachineThatStoodStillOffersNoStagedVersion(t *testing.T) {
+	c, now := lone(t, ControllerConfig{})
+	propose(t, c, now, Command{Kind: Propose, ID: 1, Changes: []content.Change{service("a", "1")}})
+	_ = c.propose(*stage(1, OneGateway))
+	run(t, c)
+	s := &subscriber{gateway: "g"}
+	if v, _ := c.target(s); v.Ref.Number != 1 {
+		t.Fatalf("before: version %d", v.Ref.Number)
+	}
+	now += 10 * time.Second
+	c.pass(now)
+	if v, _ := c.target(s); v.Ref.Number != 0 {
+		t.Errorf("after: version %d", v.Ref.Number)
+	}
+	c.pass(now + quietAfterStall)
+	if v, _ := c.target(s); v.Ref.Number != 1 {
+		t.Errorf("some time later: version %d", v.Ref.Number)
+	}
+}
+
+func TestAFullControlMachineIsBusyAndAnUnknownSessionIsTold(t *testing.T) {
+	c, now := lone(t, ControllerConfig{MostSubscribers: 1})
+	for name, m := range map[string]struct {
+		m    wire.Message
+		want wire.Message
+	}{
+		"the first":           {&wire.Subscribe{Gateway: "g", Session: 4}, &wire.Offer{Session: 4, Target: c.Store().Released().Ref}},
+		"an unknown one":      {&wire.Report{Gateway: "h", Session: 3}, &wire.Unknown{Session: 3}},
+		"a page for a nobody": {&wire.Fetch{Gateway: "h", Session: 3}, &wire.Unknown{Session: 3}},
+	} {
+		if err := c.Hear(now, 9, m.m); err != nil {
+			t.Fatal(err)
+		}
+		out := run(t, c).Gateways
+		if len(out) != 1 || out[0].Link != 9 || fmt.Sprint(out[0].Message) != fmt.Sprint(m.want) {
+			t.Errorf("%s: %+v", name, out)
+		}
+	}
+	_ = c.Hear(now, 9, &wire.Subscribe{Gateway: "second", Session: 5})
+	if out := run(t, c).Gateways; len(out) != 1 || fmt.Sprint(out[0].Message) != fmt.Sprint(&wire.Busy{Session: 5}) {
+		t.Errorf("the second: %+v", out)
+	}
+	if c.Hear(now, 9, &wire.PeerLog{}) == nil || c.HearPeer(now, 2, &wire.Report{}) == nil || c.HearPeer(now, 2, &wire.PeerLog{Data: []byte("x")}) == nil {
+		t.Error("messages of the wrong side, or that are none, were taken")
+	}
+}
+
+// The leader says who lags and why.
+func TestLagSaysWhoAndWhy(t *testing.T) {
+	c, now := lone(t, ControllerConfig{})
+	ref := propose(t, c, now, Command{Kind: Propose, ID: 1, Changes: []content.Change{service("a", "1")}}).Ref
+	states := map[string]wire.State{"has-it": {InForce: ref}, "refuses": {Verdict: wire.Refused, Version: 1, Reason: "no pool"},
+		"fails": {InForce: ref, Verdict: wire.Failed, Version: 1, Reason: "503s"}, "waits": {}}
+	silent := now
+	for name, s := range states {
+		_ = c.Hear(now, 1, &wire.Subscribe{Gateway: name, Session: 1, State: s})
+	}
+	want := map[string]Reason{"refuses": HasRefused, "fails": HasFailed, "waits": NotItsTurn}
+	check := func() {
+		t.Helper()
+		got := make(map[string]Reason)
+		for _, l := range c.Lag(now) {
+			got[l.Gateway] = l.Why
+		}
+		if fmt.Sprint(got) != fmt.Sprint(want) {
+			t.Errorf("%v, want %v", got, want)
+		}
+	}
+	if err := c.Propose(now, Command{Kind: Propose, ID: 2, Base: 7}); !errors.Is(err, ErrDoesNotFollow) {
+		t.Errorf("a proposal that does not follow: %v", err)
+	}
+	check()
+	for now < silent+silentAfter+time.Second {
+		now += consensus.TickEvery
+		c.Advance(now)
+		run(t, c)
+	}
+	want = map[string]Reason{"refuses": NotHeard, "fails": NotHeard, "waits": NotHeard}
+	check()
+}
