--- a/internal/lab/rolloutsim/fleet.go
+++ b/internal/lab/rolloutsim/fleet.go
@@ -1,5 +1,8 @@
 // Package rolloutsim puts control machines and the agents of gateways on a virtual clock and network, and holds them to the rules of a rollout. Play draws
-// a run of some tens of gateways with troubles by a seed; Measure plays a whole fleet's size; a Fleet can be put on another clock and network.
+// a run of some tens of gateways with troubles by a seed; Measure plays a whole fleet's size.
+//
+// A Fleet can be put on another Clock and Network: New, StartControl and StartGateway for each place, Submit for changes, InForce for how many have a
+// version, Config.Installed to be told of each, and Sent, Received and Used of each place for what it cost.
 package rolloutsim
 
 import (
--- a/internal/rollout/conductor.go
+++ b/internal/rollout/conductor.go
@@ -34,7 +34,7 @@
 	nineInTen        = 0.9
 	halfOfThem       = 0.5
 	reasonNoAnswer   = "less than half of the zone has answered"
-	reasonOfPlan     = "gateway %s: %s"
+	reasonOfOne      = "gateway %s: %s"
 	reasonOfFailures = "%d of %d gateways failed, the first is %s: %s"
 )
 
@@ -123,23 +123,17 @@
 	if reason, stop := t.failure(r.Stage, d.policy.StopShare); stop {
 		return Command{Kind: Stop, Version: r.Version, Reason: reason[:min(len(reason), wire.MaxReason)]}, true
 	}
-	enough := func(share float64) bool { return float64(t.acked) >= share*float64(t.live) }
-	if !enough(nineInTen) {
-		d.goodSince = 0
-	} else if d.goodSince == 0 {
-		d.goodSince = c.now
-	}
-	soaked := d.goodSince != 0 && c.now-d.goodSince >= d.policy.Soak
+	soaked := d.soaked(c.now, &t)
 	switch r.Stage {
 	case OneGateway:
-		if t.live > 0 && soaked {
+		if soaked && t.live > 0 {
 			return Command{Kind: MoveStage, Version: r.Version, Stage: OneZone, Canary: r.Canary, Zone: t.zone}, true
 		}
-		if lasted >= d.policy.OnePatience*time.Duration(max(1, len(d.tried))) && t.acked == 0 {
+		if t.acked == 0 && lasted >= d.policy.OnePatience*time.Duration(max(1, len(d.tried))) {
 			return c.beginStage(gateways, r), true
 		}
 	case OneZone:
-		if soaked || lasted >= d.policy.ZonePatience && enough(halfOfThem) {
+		if soaked || lasted >= d.policy.ZonePatience && t.enough(halfOfThem) {
 			return Command{Kind: MoveStage, Version: r.Version, Stage: AllGateways}, true
 		}
 		if lasted >= zoneAtMost {
@@ -153,6 +147,18 @@
 	return Command{}, false
 }
 
+// soaked tells whether nine in ten of a stage's gateways have had the version in force for long enough.
+func (d *conductor) soaked(now time.Duration, t *count) bool {
+	if !t.enough(nineInTen) {
+		d.goodSince = 0
+		return false
+	}
+	if d.goodSince == 0 {
+		d.goodSince = now
+	}
+	return now-d.goodSince >= d.policy.Soak
+}
+
 // allKnown tells whether each control machine has reported to this leader; one that has not for long is taken for dead.
 func (c *Controller) allKnown() bool {
 	status := c.log.Status()
@@ -201,6 +207,9 @@
 	zone   string // of the one gateway
 }
 
+// enough tells whether a share of the gateways that are heard of have the version in force.
+func (t *count) enough(share float64) bool { return float64(t.acked) >= share*float64(t.live) }
+
 // tally counts the gateways that a stage is about: those that the change touches.
 func tally(gateways []placed, r Rollout) (t count) {
 	for i := range gateways {
@@ -240,7 +249,7 @@
 		return "", false
 	}
 	if stage == OneGateway {
-		return fmt.Sprintf(reasonOfPlan, t.first.Gateway, t.first.State.Reason), true
+		return fmt.Sprintf(reasonOfOne, t.first.Gateway, t.first.State.Reason), true
 	}
 	return fmt.Sprintf(reasonOfFailures, t.failed, answered, t.first.Gateway, t.first.State.Reason), true
 }
