--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -23,6 +23,7 @@
 	returnAfter   = time.Minute     // to the first control machine of the agent's order
 	stalledAfter  = 4 * time.Second // between two calls: what has waited meanwhile is dropped
 	mostPending   = 32 << 20        // bytes of changes that are collected
+	mostNamed     = 96 << 10        // bytes of the names of services; a gateway that serves more takes all
 	reasonMissing = "no reason given"
 )
 
@@ -132,7 +133,10 @@
 	if len(cfg.Controllers) == 0 || cfg.Gateway == "" || len(cfg.Gateway) > content.MaxName || len(cfg.Zone) > content.MaxName {
 		return nil, fmt.Errorf("rollout: gateway %q of zone %q with %d control machines", cfg.Gateway, cfg.Zone, len(cfg.Controllers))
 	}
-	cfg.Services = slices.Compact(slices.Sorted(slices.Values(cfg.Services)))
+	var err error
+	if cfg.Services, err = serviceList(cfg.Services); err != nil {
+		return nil, err
+	}
 	a := &Agent{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, xxh3.HashString(cfg.Gateway))), order: controllerOrder(cfg), now: now, session: cfg.Session,
 		tree: content.Empty(), backoff: backoffLeast}
 	if cfg.Kept != nil {
@@ -143,6 +147,19 @@
 	return a, nil
 }
 
+// serviceList sorts the names of services, each once, and refuses more than a subscription can hold.
+func serviceList(names []string) ([]string, error) {
+	names = slices.Compact(slices.Sorted(slices.Values(names)))
+	bytes := 0
+	for _, name := range names {
+		bytes += len(name) + 1
+	}
+	if bytes > mostNamed {
+		return nil, fmt.Errorf("rollout: services: %d names of %d bytes, %d bytes at most; name none to take all", len(names), bytes, mostNamed)
+	}
+	return names, nil
+}
+
 // controllerOrder is the order in which an agent tries control machines: its own region's first, each by rendezvous, so that agents
 // spread evenly and few move when one is lost.
 func controllerOrder(cfg AgentConfig) []uint64 {
@@ -458,14 +475,15 @@
 }
 
 // SetServices has the agent take other services. The ones in force stay until the new ones are there.
-func (a *Agent) SetServices(now time.Duration, services []string) {
+func (a *Agent) SetServices(now time.Duration, services []string) error {
 	a.pass(now)
-	services = slices.Compact(slices.Sorted(slices.Values(services)))
-	if slices.Equal(services, a.cfg.Services) {
-		return
+	services, err := serviceList(services)
+	if err != nil || slices.Equal(services, a.cfg.Services) {
+		return err
 	}
 	a.cfg.Services, a.incomplete = services, !slices.Equal(a.services, services)
 	a.begin(0)
+	return nil
 }
 
 // Take returns what is to be done now.
--- a/internal/rollout/agent_test.go
+++ b/internal/rollout/agent_test.go
@@ -109,6 +109,20 @@
 	}
 }
 
+func TestTooManyServicesAreAnError(t *testing.T) {
+	var names []string
+	for i := range mostNamed / 10 {
+		names = append(names, fmt.Sprintf("service-%05d", i))
+	}
+	if _, err := NewAgent(AgentConfig{Gateway: "g", Controllers: machinesOf(1), Services: names}, 0); err == nil {
+		t.Error("taken at the start")
+	}
+	a := newTestAgent(t, AgentConfig{Services: names[:2]})
+	if err := a.SetServices(0, names); err == nil || len(a.cfg.Services) != 2 {
+		t.Errorf("%v, serves %d", err, len(a.cfg.Services))
+	}
+}
+
 func TestTheFence(t *testing.T) {
 	a := newTestAgent(t, AgentConfig{})
 	one := version(t, 1, content.Empty(), service("a", "1"))
--- a/internal/rollout/rapid_test.go
+++ b/internal/rollout/rapid_test.go
@@ -240,7 +240,9 @@
 
 func (p *pair) serveOthers(t *rapid.T) {
 	p.services = rapid.SampledFrom([][]string{nil, {"a"}, {"b"}, {"a", "c"}}).Draw(t, "services")
-	p.a.SetServices(p.now, p.services)
+	if err := p.a.SetServices(p.now, p.services); err != nil {
+		t.Fatal(err)
+	}
 }
 
 // fail has the gateway fail, or recover.
