End long thymelab commands on a signal with what they have, and queue events by value

Cause: the commands on the virtual clock (view, shares, seeds, replay, plan) looked at the signal between seeds at most, so 'thymelab view' told SIGTERM went on to its end (418 s at 870 gateways). Their runs now take a context and look at it every 256 events; what was measured until then is printed, marked partial, and the exit code is 4. run, load and drill ended on the signal before, but their words did not say so, and load's exit code was 0.

--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -35,6 +35,7 @@
 	exitBroken = 1 // a standing rule was broken
 	exitInput  = 2 // the input cannot be used
 	exitBehind = 3 // the generator fell behind
+	exitEarly  = 4 // told to end by SIGINT or SIGTERM: what was written is partial
 )
 
 // env is what a command works with.
@@ -52,6 +53,9 @@
 
 func (c coded) Error() string { return c.text }
 
+// early is the end of a command that was told to end before it was through, once it has written what it had.
+func early() error { return coded{exitEarly, "told to end: partial"} }
+
 func input(err error) error {
 	if err == nil {
 		return nil
@@ -124,7 +128,7 @@
 // Help implements kong's.
 func (runCmd) Help() string {
 	return "Example:\n  thymelab run experiments/closing-rush.toml --out /tmp/rush --seed 7\n\n" +
-		"Exit codes: 0 all rules held, 1 a rule was broken, 2 unusable input, 3 the generator fell behind."
+		"Exit codes: 0 all rules held, 1 a rule was broken, 2 unusable input, 3 the generator fell behind, 4 told to end: partial."
 }
 
 // Run implements kong's.
@@ -149,6 +153,8 @@
 	fmt.Fprint(e.out, report.Text(res))
 	fmt.Fprintf(e.out, "report: %s\n", page)
 	switch {
+	case res.Load.PartialInput:
+		return early()
 	case res.Load.FellBehind:
 		return coded{exitBehind, "the generator fell behind: " + res.Load.Behind}
 	case !res.Held:
@@ -223,7 +229,7 @@
 func (loadCmd) Help() string {
 	return "Example:\n  thymelab load --target 127.0.0.1:8443 --rate 300 --for 20s --class tender-view=0.7 --class bid-lodge=0.3 --json out.json\n\n" +
 		"Requests leave on schedule whatever the answers; latency counts from the time at which a request was due.\n" +
-		"A target that is down is data. Exit codes: 0 measured, 2 unusable input, 3 the generator fell behind."
+		"A target that is down is data. Exit codes: 0 measured, 2 unusable input, 3 the generator fell behind, 4 told to end: partial."
 }
 
 // Run implements kong's.
@@ -354,7 +360,10 @@
 			fmt.Fprintf(e.out, "%d ids were answered more than once\n", twice)
 		}
 	}
-	if res.FellBehind {
+	switch {
+	case res.PartialInput:
+		return early()
+	case res.FellBehind:
 		return coded{exitBehind, "the generator fell behind, no latencies are shown: " + res.Behind}
 	}
 	return nil
--- a/internal/lab/cli/drill.go
+++ b/internal/lab/cli/drill.go
@@ -23,7 +23,7 @@
 // Help implements kong's.
 func (drillCmd) Help() string {
 	return "Example:\n  thymelab drill experiments/drills/partition.toml --out /tmp/partition\n\n" +
-		"Exit codes: 0 all rules held, 1 a rule was broken, 2 unusable file or a drill that could not be played."
+		"Exit codes: 0 all rules held, 1 a rule was broken, 2 unusable file or a drill that could not be played, 4 told to end: partial."
 }
 
 // Run implements kong's.
@@ -52,6 +52,9 @@
 	}
 	fmt.Fprint(e.out, report.Text(res.Result))
 	fmt.Fprintf(e.out, "report: %s\n", page)
+	if res.Load.PartialInput {
+		return early()
+	}
 	if !res.Held {
 		var first []string
 		for _, x := range res.Findings[:min(10, len(res.Findings))] {
--- a/internal/lab/cli/seeds.go
+++ b/internal/lab/cli/seeds.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"cmp"
+	"context"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -10,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"thymebend/internal/lab/viewsim"
@@ -44,7 +46,7 @@
 func (seedsCmd) Help() string {
 	return "Example:\n  thymelab seeds --from 1 --count 1000 --profile drain-retry\n\nProfiles: " + fmt.Sprint(virtual.Profiles()) +
 		" and members, which plays the fleet's view alone" +
-		"\nExit codes: 0 no failure, 1 a failure, 2 unusable input."
+		"\nExit codes: 0 no failure, 1 a failure, 2 unusable input, 4 told to end: partial."
 }
 
 type failure struct {
@@ -66,9 +68,9 @@
 	var mu sync.Mutex
 	failures := []failure{}
 	tries, lasted, steps := 0, time.Duration(0), uint64(0)
-	c.each(e, func(seed uint64) {
+	played := c.each(e, func(seed uint64) bool {
 		p, _ := virtual.DrawSized(seed, c.Profile, c.size()) // checked above
-		o := virtual.Play(p, nil)
+		o := virtual.PlayContext(e.ctx, p, nil)
 		mu.Lock()
 		defer mu.Unlock()
 		tries, lasted, steps = tries+o.Tries, lasted+o.Lasted, steps+o.Steps
@@ -77,21 +79,25 @@
 			failures = append(failures, f)
 			fmt.Fprintf(e.out, "seed %d (%s): %s: %s: %s (and %d more)\n", f.Seed, f.Profile, f.Rule, f.ID, f.Detail, f.More)
 		}
+		return !o.Partial
 	})
 	took := time.Since(began).Seconds()
-	fmt.Fprintf(e.out, "%d seeds, %d failures, %d requests in %.1f s: %.0f simulated seconds and %.0f requests a second\n", c.Count,
+	fmt.Fprintf(e.out, "%d seeds, %d failures, %d requests in %.1f s: %.0f simulated seconds and %.0f requests a second\n", played,
 		len(failures), tries, took, lasted.Seconds()/took, float64(tries)/took)
-	return c.end(failures, map[string]any{"requests": tries, "simulated_s": lasted.Seconds(), "steps": steps, "took_s": took})
+	return c.end(e, failures, played, map[string]any{"requests": tries, "simulated_s": lasted.Seconds(), "steps": steps, "took_s": took})
 }
 
-// each hands the seeds out to so many runs at once and waits for their ends.
-func (c seedsCmd) each(e *env, play func(seed uint64)) {
+// each hands the seeds out to so many runs at once, waits for their ends and returns how many were played whole.
+func (c seedsCmd) each(e *env, play func(seed uint64) (whole bool)) (played uint64) {
 	var all sync.WaitGroup
+	var whole atomic.Uint64
 	next := make(chan uint64)
 	for range cmp.Or(max(0, c.Jobs), runtime.GOMAXPROCS(0)) {
 		all.Go(func() {
 			for seed := range next {
-				play(seed)
+				if play(seed) {
+					whole.Add(1)
+				}
 			}
 		})
 	}
@@ -100,13 +106,15 @@
 	}
 	close(next)
 	all.Wait()
+	return whole.Load()
 }
 
 // end writes the report that was asked for and tells whether all held.
-func (c seedsCmd) end(failures []failure, figures map[string]any) error {
+func (c seedsCmd) end(e *env, failures []failure, played uint64, figures map[string]any) error {
 	if c.JSON != "" {
 		slices.SortFunc(failures, func(a, b failure) int { return cmp.Compare(a.Seed, b.Seed) })
 		figures["from"], figures["count"], figures["profile"], figures["failures"] = c.From, c.Count, c.Profile, failures
+		figures["played"], figures["partial"] = played, played < c.Count
 		raw, err := json.MarshalIndent(figures, "", " ")
 		if err != nil {
 			return input(err)
@@ -115,8 +123,11 @@
 			return input(err)
 		}
 	}
-	if len(failures) > 0 {
+	switch {
+	case len(failures) > 0:
 		return coded{exitBroken, ""}
+	case e.ctx.Err() != nil:
+		return early()
 	}
 	return nil
 }
@@ -141,8 +152,8 @@
 	var mu sync.Mutex
 	failures := []failure{}
 	var calls uint64
-	c.each(e, func(seed uint64) {
-		o := viewsim.Play(seed, c.Gateways)
+	played := c.each(e, func(seed uint64) bool {
+		o := viewsim.Play(e.ctx, seed, c.Gateways)
 		mu.Lock()
 		defer mu.Unlock()
 		calls += o.Calls
@@ -151,9 +162,10 @@
 			failures = append(failures, f)
 			fmt.Fprintf(e.out, "seed %d (%s): %v: %s (and %d more)\n", seed, c.Profile, o, f.Detail, f.More)
 		}
+		return !o.Partial
 	})
-	fmt.Fprintf(e.out, "%d seeds, %d failures, %d calls of views in %.1f s\n", c.Count, len(failures), calls, time.Since(began).Seconds())
-	return c.end(failures, map[string]any{"calls": calls})
+	fmt.Fprintf(e.out, "%d seeds, %d failures, %d calls of views in %.1f s\n", played, len(failures), calls, time.Since(began).Seconds())
+	return c.end(e, failures, played, map[string]any{"calls": calls})
 }
 
 type replayCmd struct {
@@ -176,8 +188,11 @@
 		if err := c.viewOnly(c.Trace, c.Shrink); err != nil {
 			return err
 		}
-		o := viewsim.Play(c.Seed, c.Gateways)
+		o := viewsim.Play(e.ctx, c.Seed, c.Gateways)
 		fmt.Fprintf(e.out, "seed %d, %s: %v\n%s\n", c.Seed, c.Profile, o, strings.Join(o.Findings, "\n"))
+		if o.Partial {
+			return early()
+		}
 		if len(o.Findings) > 0 {
 			return coded{exitBroken, ""}
 		}
@@ -187,21 +202,27 @@
 	if err != nil {
 		return input(err)
 	}
-	o, err := playTraced(p, c.Trace)
+	o, err := playTraced(e.ctx, p, c.Trace)
 	if err != nil {
 		return input(err)
 	}
 	e.say(p, o)
+	if o.Partial {
+		return early()
+	}
 	if len(o.Findings) == 0 {
 		return nil
 	}
 	if c.Shrink != "" {
-		small, runs := virtual.Shrink(p, o.Findings[0].Rule, c.Most)
+		small, runs := virtual.Shrink(e.ctx, p, o.Findings[0].Rule, c.Most)
 		if err := small.Write(c.Shrink); err != nil {
 			return input(err)
 		}
 		fmt.Fprintf(e.out, "%s: %d faults and %d requests of %d and %d, after %d runs\n", c.Shrink, len(small.Faults), len(small.Requests),
 			len(p.Faults), len(p.Requests), runs)
+		if e.ctx.Err() != nil {
+			return early()
+		}
 	}
 	return coded{exitBroken, ""}
 }
@@ -222,19 +243,23 @@
 	if err != nil {
 		return input(err)
 	}
-	o, err := playTraced(p, c.Trace)
+	o, err := playTraced(e.ctx, p, c.Trace)
 	if err != nil {
 		return input(err)
 	}
-	if e.say(p, o); len(o.Findings) > 0 {
+	e.say(p, o)
+	switch {
+	case o.Partial:
+		return early()
+	case len(o.Findings) > 0:
 		return coded{exitBroken, ""}
 	}
 	return nil
 }
 
-func playTraced(p virtual.Plan, path string) (virtual.Outcome, error) {
+func playTraced(ctx context.Context, p virtual.Plan, path string) (virtual.Outcome, error) {
 	if path == "" {
-		return virtual.Play(p, nil), nil
+		return virtual.PlayContext(ctx, p, nil), nil
 	}
 	file, err := os.Create(path)
 	if err != nil {
@@ -242,7 +267,7 @@
 	}
 	defer file.Close()
 	out := bufio.NewWriter(file)
-	o := virtual.Play(p, out)
+	o := virtual.PlayContext(ctx, p, out)
 	if err := out.Flush(); err != nil {
 		return o, err
 	}
@@ -253,6 +278,9 @@
 func (e *env) say(p virtual.Plan, o virtual.Outcome) {
 	fmt.Fprintf(e.out, "seed %d, %s, %d gateways, %d hosts, %d faults, %d tries: %d served, %d refused, %d failed, %.1f s\n", p.Seed, p.Profile,
 		p.Gateways, p.Hosts, len(p.Faults), o.Tries, o.Served, o.Refused, o.Failed, o.Lasted.Seconds())
+	if o.Partial {
+		fmt.Fprintln(e.out, "partial: told to end")
+	}
 	if o.Sums != "" {
 		fmt.Fprintln(e.out, o.Sums)
 	}
--- a/internal/lab/cli/shares.go
+++ b/internal/lab/cli/shares.go
@@ -1,6 +1,8 @@
 package cli
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -37,6 +39,9 @@
 	for _, size := range sizes {
 		for _, zipf := range []bool{false, true} {
 			for _, way := range sharesim.Ways() {
+				if e.ctx.Err() != nil {
+					return early()
+				}
 				if way == sharesim.MeanOnly && !zipf {
 					continue
 				}
@@ -63,7 +68,10 @@
 	}
 	fmt.Fprintln(e.out, "| gateways | hosts | hearsay | bad host known to 95% of its users, median | asked of bad hosts | bytes a second and gateway | cold hosts got of what they may | refused | rules broken |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 	for _, hearsay := range []bool{false, true} {
-		f, err := virtual.MeasurePortions(c.Seed, c.Gateways, c.Hosts, hearsay)
+		f, err := virtual.MeasurePortions(e.ctx, c.Seed, c.Gateways, c.Hosts, hearsay)
+		if errors.Is(err, context.Canceled) {
+			return early()
+		}
 		if err != nil {
 			return input(err)
 		}
--- a/internal/lab/cli/view.go
+++ b/internal/lab/cli/view.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"os"
@@ -39,10 +40,11 @@
 	parts := map[string]members.Part{"ring": members.PartRing, "confirm": members.PartConfirm, "verify": members.PartVerify,
 		"health": members.PartHealth, "repair": members.PartRepair, "calls": members.PartCalls}
 	if c.Plots != "" {
-		return input(c.plots())
+		return c.plots(e.ctx)
 	}
 	began := time.Now()
-	f := viewsim.Measure(c.Seed, c.Nodes, c.Loss, c.Stalls, c.Heal, c.Beats, parts[c.Without])
+	f := viewsim.Measure(e.ctx, viewsim.Case{Seed: c.Seed, Nodes: c.Nodes, Loss: c.Loss, Stalls: c.Stalls, Heal: c.Heal, Baseline: c.Beats,
+		Without: parts[c.Without]})
 	kind := "view"
 	if c.Beats {
 		kind = "heartbeats"
@@ -50,21 +52,29 @@
 	if c.Without != "none" {
 		kind += " without " + c.Without
 	}
-	fmt.Fprintf(e.out, "| %d | %.0f%% | %v | %s | %.2f / %.2f s | %.2f / %.2f s | %.2f s | %d | %d | %.0f / %.0f | %.2f%% | %.1f s |\n", f.Nodes, 100*f.Loss,
-		f.Stalls, kind, middle(f.Crash), slices.Max(f.Crash).Seconds(), middle(f.Join), slices.Max(f.Join).Seconds(), f.Heal.Seconds(),
+	fmt.Fprintf(e.out, "| %d | %.0f%% | %v | %s | %s | %s | %.2f s | %d | %d | %.0f / %.0f | %.2f%% | %.1f s |\n", f.Nodes, 100*f.Loss,
+		f.Stalls, kind, middleAndMost(f.Crash), middleAndMost(f.Join), f.Heal.Seconds(),
 		f.FalseDoubts, f.FalseRemoval, f.Rest, f.Most, 100*f.CPU, time.Since(began).Seconds())
+	if f.Partial {
+		fmt.Fprintf(e.out, "partial: %.1f s of the quiet minute, %d of 5 crashes, %d of 5 joins\n", f.Quiet.Seconds(), len(f.Crash), len(f.Join))
+		return early()
+	}
 	return nil
 }
 
-func middle(list []time.Duration) float64 {
+// middleAndMost words the median and the largest of some times.
+func middleAndMost(list []time.Duration) string {
+	if len(list) == 0 {
+		return "-"
+	}
 	list = slices.Sorted(slices.Values(list))
-	return list[len(list)/2].Seconds()
+	return fmt.Sprintf("%.2f / %.2f s", list[len(list)/2].Seconds(), list[len(list)-1].Seconds())
 }
 
 // plots measures sizes side by side and draws how a crash becomes known, and what that costs.
-func (c viewCmd) plots() error {
+func (c viewCmd) plots(ctx context.Context) error {
 	if err := os.MkdirAll(c.Plots, 0o755); err != nil {
-		return err
+		return input(err)
 	}
 	sizes := []int{10, 30, 100}
 	if c.Nodes > 100 {
@@ -76,10 +86,15 @@
 	for k := range kinds {
 		found[k] = make([]viewsim.Figures, len(sizes))
 		for i, n := range sizes {
-			all.Go(func() { found[k][i] = viewsim.Measure(c.Seed, n, c.Loss, c.Stalls, false, k == 1, 0) })
+			all.Go(func() {
+				found[k][i] = viewsim.Measure(ctx, viewsim.Case{Seed: c.Seed, Nodes: n, Loss: c.Loss, Stalls: c.Stalls, Baseline: k == 1})
+			})
 		}
 	}
 	all.Wait()
+	if ctx.Err() != nil {
+		return early() // lines through sizes that were not measured whole would mislead
+	}
 	for _, p := range []struct {
 		file, title, y string
 		of             func(f viewsim.Figures) float64
@@ -100,7 +115,7 @@
 			return report.Plot(w, fmt.Sprintf("%s (%.0f%% loss, stalls %v)", p.title, 100*c.Loss, c.Stalls), "gateways", p.y, lines)
 		})
 		if err != nil {
-			return err
+			return input(err)
 		}
 	}
 	return nil
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -377,6 +377,9 @@
 func Text(r *experiment.Result) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s (%s)\n", r.Title, facts(r))
+	if r.Load.PartialInput {
+		fmt.Fprintf(&b, "  partial: told to end after %.1f s\n", r.Load.Lasted)
+	}
 	for _, c := range r.Load.Classes {
 		fmt.Fprintf(&b, "  %-14s %7d due, %.2f%% served in time; %d refused, %d failed, %d unanswered\n", c.Name, c.Scheduled,
 			c.Goodput*100, c.Refused, c.Failed, c.Unanswered)
--- a/internal/lab/viewsim/heartbeats.go
+++ b/internal/lab/viewsim/heartbeats.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"iter"
 	"math"
 	"net/netip"
 	"slices"
@@ -19,6 +20,8 @@
 	Take() []members.Datagram
 	Next() time.Duration
 	Members() []members.Member
+	Find(name string) (members.Member, bool)
+	Others() iter.Seq[*members.Member]
 	Status(now time.Duration) members.Status
 	Counts() members.Counts
 	Leave(now time.Duration)
@@ -30,6 +33,7 @@
 	name   string
 	start  uint64
 	all    []*peer // by name
+	byName map[string]*peer
 	byAddr map[netip.AddrPort]*peer
 	next   time.Duration
 	out    []members.Datagram
@@ -54,14 +58,15 @@
 
 // NewHeartbeats starts one with the book.
 func NewHeartbeats(cfg members.Config, now time.Duration) *Heartbeats {
-	h := &Heartbeats{name: cfg.Name, start: cfg.Start, byAddr: make(map[netip.AddrPort]*peer), next: now}
+	h := &Heartbeats{name: cfg.Name, start: cfg.Start, byName: make(map[string]*peer),
+		byAddr: make(map[netip.AddrPort]*peer), next: now}
 	for _, p := range cfg.Book {
 		if p.Name == cfg.Name {
 			continue
 		}
 		q := &peer{Member: members.Member{Name: p.Name, Addr: p.Addr, State: fleetwire.Gone, Since: now}}
 		h.all = append(h.all, q)
-		h.byAddr[p.Addr] = q
+		h.byName[p.Name], h.byAddr[p.Addr] = q, q
 	}
 	slices.SortFunc(h.all, func(a, b *peer) int { return cmp.Compare(a.Name, b.Name) })
 	return h
@@ -145,6 +150,29 @@
 	return slices.Insert(out, at, self)
 }
 
+// Find implements Mind.
+func (h *Heartbeats) Find(name string) (members.Member, bool) {
+	if name == h.name {
+		return members.Member{Name: h.name, Start: h.start}, true
+	}
+	p := h.byName[name]
+	if p == nil {
+		return members.Member{}, false
+	}
+	return p.Member, true
+}
+
+// Others implements Mind.
+func (h *Heartbeats) Others() iter.Seq[*members.Member] {
+	return func(yield func(*members.Member) bool) {
+		for _, p := range h.all {
+			if !yield(&p.Member) {
+				return
+			}
+		}
+	}
+}
+
 // Status implements Mind: it knows only how many it holds alive.
 func (h *Heartbeats) Status(time.Duration) members.Status {
 	s := members.Status{Alive: 1, Known: len(h.all) + 1, Answering: 1}
--- a/internal/lab/viewsim/play.go
+++ b/internal/lab/viewsim/play.go
@@ -1,6 +1,7 @@
 package viewsim
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -14,6 +15,7 @@
 	Calls    uint64
 	Lasted   time.Duration
 	Findings []string
+	Partial  bool // the run was interrupted
 }
 
 // What a run must come to.
@@ -24,13 +26,15 @@
 )
 
 // Play draws a fleet of n nodes, or of a size by the seed, with half of the troubles, and holds the rules: after the last
-// fault all living views are the truth within 15 s, incarnations only grow, and what is sent stays bounded.
-func Play(seed uint64, n int) Outcome {
+// fault all living views are the truth within 15 s, incarnations only grow, and what is sent stays bounded. Once ctx is done
+// it returns with the findings so far.
+func Play(ctx context.Context, seed uint64, n int) Outcome {
 	rng := rand.New(rand.NewPCG(seed, 0x5eed))
 	if n == 0 {
 		n = 3 + rng.IntN(28)
 	}
 	s := New(seed, n)
+	s.EndWith(ctx)
 	at := func(most time.Duration) time.Duration { return 3*time.Second + time.Duration(rng.Int64N(int64(most))) }
 	for i := range n {
 		s.At(time.Duration(rng.Int64N(int64(2*time.Second))), func() { s.Start(i) })
@@ -86,6 +90,9 @@
 		}
 	}
 	s.Run(length + 21*time.Second)
+	if s.Interrupted() {
+		return s.partial()
+	}
 	s.Net.Loss, s.Net.Double = 0, 0
 	total := uint64(0)
 	for i := range n {
@@ -96,6 +103,9 @@
 	}
 	o := Outcome{Nodes: n}
 	took, ok := s.Until(settleWithin)
+	if s.Interrupted() {
+		return s.partial()
+	}
 	if o.Settled = took; !ok {
 		s.Find("not settled %v after the last fault: %s", settleWithin, s.Wrong())
 	}
@@ -103,6 +113,9 @@
 	calls, before := s.Calls(), s.now
 	sent := total
 	s.Run(s.Now() + 5*time.Second)
+	if s.Interrupted() {
+		return s.partial()
+	}
 	if wrong := s.Wrong(); ok && wrong != "" {
 		s.Find("settled and moved again: %s", wrong)
 	}
@@ -118,6 +131,11 @@
 	return o
 }
 
+// partial is the outcome of a run that was interrupted.
+func (s *Sim) partial() Outcome {
+	return Outcome{Nodes: len(s.Nodes), Calls: s.Calls(), Lasted: s.Now(), Findings: s.Findings, Partial: true}
+}
+
 func (o Outcome) String() string {
 	return fmt.Sprintf("%d nodes, settled after %v, %.0f bytes a second", o.Nodes, o.Settled, o.Rate)
 }
--- a/internal/lab/viewsim/sim.go
+++ b/internal/lab/viewsim/sim.go
@@ -3,12 +3,13 @@
 package viewsim
 
 import (
-	"cmp"
-	"container/heap"
+	"bytes"
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"thymebend/internal/fleetwire"
@@ -18,11 +19,15 @@
 // epoch is when a run begins, in Unix time.
 const epoch = 1_700_000_000 * time.Second
 
+// namePrefix begins the name of every node; its number follows.
+const namePrefix = "g-"
+
 // Net is how datagrams fare.
 type Net struct {
 	Latency, Jitter time.Duration
 	Loss, Double    float64
-	Cut             func(from, to int) bool // nil is no cut
+	Cut             func(from, to int) bool          // nil is no cut
+	Far             func(from, to int) time.Duration // further latency between two nodes; nil is none
 }
 
 // Node is one gateway's place in the fleet.
@@ -32,12 +37,13 @@
 	Starts int
 
 	addr    netip.AddrPort
+	payload []byte // what it spreads of itself
 	life    int
 	stopped bool // SIGSTOP: nothing is done, what comes waits
 	waiting []delivery
 	due     bool // something waits for SIGCONT
 	next    time.Duration
-	seen    map[string]claimed
+	seen    []claimed // the highest claim seen of each node, by its number
 }
 
 type claimed struct{ start, incarnation uint64 }
@@ -58,43 +64,25 @@
 
 	rng   *rand.Rand
 	now   time.Duration
-	queue events
+	queue queue
 	order uint64
-	sent  []uint64 // bytes by node
+	sent  []uint64        // bytes by node
+	spent []time.Duration // of the real processor's time, by the node whose view was called
+	ctx   context.Context
+	seek  int // the node whose view was wrong last
 	book  []members.Peer
 	calls uint64
-	used  time.Duration // of the real processor's time, by views
 	back  time.Duration // how far the clock of what starts now has gone back
 }
 
-type event struct {
-	at    time.Duration
-	order uint64
-	do    func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(e[i].at, e[j].at), cmp.Compare(e[i].order, e[j].order)) < 0
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 // New makes a fleet of n places. None runs yet.
 func New(seed uint64, n int) *Sim {
 	s := &Sim{rng: rand.New(rand.NewPCG(seed, 0xf1ee7)), now: epoch, sent: make([]uint64, n),
+		spent: make([]time.Duration, n), ctx: context.Background(),
 		Net: Net{Latency: 500 * time.Microsecond, Jitter: 4 * time.Millisecond}}
 	for i := range n {
 		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7946)
-		node := &Node{Name: fmt.Sprintf("g-%04d", i), addr: addr, seen: make(map[string]claimed)}
+		node := &Node{Name: fmt.Sprintf(namePrefix+"%04d", i), addr: addr, payload: []byte{byte(i)}, seen: make([]claimed, n)}
 		s.Nodes = append(s.Nodes, node)
 		s.book = append(s.book, members.Peer{Name: node.Name, Addr: addr})
 	}
@@ -120,13 +108,25 @@
 
 func (s *Sim) at(at time.Duration, do func()) {
 	s.order++
-	heap.Push(&s.queue, event{max(at, s.now), s.order, do})
+	s.queue.push(event{max(at, s.now), s.order, do})
 }
 
-// Run plays until a time of the run.
+// EndWith has the run end early once ctx is done.
+func (s *Sim) EndWith(ctx context.Context) { s.ctx = ctx }
+
+// Interrupted reports whether the run was ended early.
+func (s *Sim) Interrupted() bool { return s.ctx.Err() != nil }
+
+// interruptCheckEvents is how many events pass between looks at whether the run was interrupted.
+const interruptCheckEvents = 256
+
+// Run plays until a time of the run, or until the run is interrupted.
 func (s *Sim) Run(until time.Duration) {
-	for len(s.queue) > 0 && s.queue[0].at <= epoch+until {
-		e := heap.Pop(&s.queue).(event)
+	for n := 0; s.queue.len() > 0 && s.queue.earliest() <= epoch+until; n++ {
+		if n%interruptCheckEvents == 0 && s.Interrupted() {
+			return
+		}
+		e := s.queue.pop()
 		s.now = e.at
 		e.do()
 	}
@@ -140,7 +140,7 @@
 		return
 	}
 	cfg := members.Config{Fleet: "sim", Name: node.Name, Start: uint64((s.now - s.back).Milliseconds()), Book: s.book, Flat: s.Flat,
-		Payload: []byte{byte(n)}, Seed: s.rng.Uint64(), Without: s.Without}
+		Payload: node.payload, Seed: s.rng.Uint64(), Without: s.Without}
 	if s.Baseline {
 		node.View = NewHeartbeats(cfg, s.now)
 	} else {
@@ -150,7 +150,7 @@
 		}
 		node.View = view
 	}
-	node.stopped, node.waiting, node.seen = false, nil, make(map[string]claimed)
+	node.stopped, node.waiting, node.seen = false, nil, make([]claimed, len(s.Nodes))
 	node.life++
 	node.Starts++
 	node.next = 0
@@ -202,12 +202,15 @@
 }
 
 // spend counts what a call of a view takes of this machine's processor. Nothing of the run depends on it.
-func (s *Sim) spend(call func()) {
+func (s *Sim) spend(n int, call func()) {
 	began := time.Now()
 	call()
-	s.used += time.Since(began)
+	s.spent[n] += time.Since(began)
 }
 
+// Spent is how much of this machine's processor a node's view has taken.
+func (s *Sim) Spent(n int) time.Duration { return s.spent[n] }
+
 // called sends what a view wants sent, looks at it, and has it looked at when it wants.
 func (s *Sim) called(n int) {
 	node := s.Nodes[n]
@@ -229,7 +232,7 @@
 			return
 		}
 		s.calls++
-		s.spend(func() { node.View.Advance(s.now) })
+		s.spend(n, func() { node.View.Advance(s.now) })
 		s.called(n)
 	})
 }
@@ -239,13 +242,28 @@
 	if s.calls%16 != 0 {
 		return
 	}
-	for _, m := range node.View.Members() {
-		was, is := node.seen[m.Name], claimed{m.Start, m.Incarnation}
-		if is.start < was.start || is.start == was.start && is.incarnation < was.incarnation {
-			s.Find("%s has %s at %d/%d after %d/%d", node.Name, m.Name, is.start, is.incarnation, was.start, was.incarnation)
-		}
-		node.seen[m.Name] = is
+	self, _ := node.View.Find(node.Name)
+	s.grows(node, &self)
+	for m := range node.View.Others() {
+		s.grows(node, m)
+	}
+}
+
+func (s *Sim) grows(node *Node, m *members.Member) {
+	was, is := &node.seen[number(m.Name)], claimed{m.Start, m.Incarnation}
+	if is.start < was.start || is.start == was.start && is.incarnation < was.incarnation {
+		s.Find("%s has %s at %d/%d after %d/%d", node.Name, m.Name, is.start, is.incarnation, was.start, was.incarnation)
 	}
+	*was = is
+}
+
+// number is the place of the node with a name.
+func number(name string) int {
+	n, err := strconv.Atoi(strings.TrimPrefix(name, namePrefix))
+	if err != nil {
+		panic(err) // names are ours
+	}
+	return n
 }
 
 // post puts a view's datagrams on the network.
@@ -270,6 +288,9 @@
 			if s.Net.Jitter > 0 {
 				delay += time.Duration(s.rng.Int64N(int64(s.Net.Jitter)))
 			}
+			if s.Net.Far != nil {
+				delay += s.Net.Far(n, to)
+			}
 			s.at(s.now+delay, func() { s.arrive(to, delivery{from.addr, d.Data}) })
 		}
 	}
@@ -285,46 +306,49 @@
 		}
 	default:
 		s.calls++
-		s.spend(func() { node.View.Hear(s.now, d.from, d.data) })
+		s.spend(n, func() { node.View.Hear(s.now, d.from, d.data) })
 		s.called(n)
 	}
 }
 
 // Held is what a node has of another: its state, and whether it knows it at all.
 func (s *Sim) Held(n, other int) (fleetwire.State, bool) {
-	list := s.Nodes[n].View.Members()
-	at, ok := slices.BinarySearchFunc(list, s.Nodes[other].Name, func(m members.Member, name string) int { return cmp.Compare(m.Name, name) })
-	if !ok {
-		return 0, false
-	}
-	return list[at].State, true
+	m, known := s.Nodes[n].View.Find(s.Nodes[other].Name)
+	return m.State, known
 }
 
-// Wrong names the first thing in which a living, running node's view is not the truth.
+// Wrong names something in which a living, running node's view is not the truth. It begins with the node that was wrong last,
+// which is likely to be wrong still.
 func (s *Sim) Wrong() string {
-	for n, node := range s.Nodes {
-		if node.View == nil || node.stopped {
-			continue
-		}
-		held := make(map[string]members.Member)
-		for _, m := range node.View.Members() {
-			held[m.Name] = m
-		}
-		for o, other := range s.Nodes {
-			m, known := held[other.Name]
-			switch {
-			case other.View != nil && (!known || m.State != fleetwire.Alive):
-				return fmt.Sprintf("%s has %s, which lives, as %d (known %v)", node.Name, other.Name, m.State, known)
-			case other.View != nil && !s.Baseline && (len(m.Payload) != 1 || m.Payload[0] != byte(o)):
-				return fmt.Sprintf("%s has no payload of %s", node.Name, other.Name)
-			case other.View == nil && known && m.State <= fleetwire.Suspect:
-				return fmt.Sprintf("%s has %s, which is dead, as %d", node.Name, other.Name, m.State)
-			}
+	for i := range s.Nodes {
+		n := (s.seek + i) % len(s.Nodes)
+		if wrong := s.wrongOf(n); wrong != "" {
+			s.seek = n
+			return wrong
 		}
-		if st := node.View.Status(s.now); st.Twin {
-			return fmt.Sprintf("node %d believes in a twin", n)
+	}
+	return ""
+}
+
+func (s *Sim) wrongOf(n int) string {
+	node := s.Nodes[n]
+	if node.View == nil || node.stopped {
+		return ""
+	}
+	for _, other := range s.Nodes {
+		m, known := node.View.Find(other.Name)
+		switch {
+		case other.View != nil && (!known || m.State != fleetwire.Alive):
+			return fmt.Sprintf("%s has %s, which lives, as %d (known %v)", node.Name, other.Name, m.State, known)
+		case other.View != nil && !s.Baseline && !bytes.Equal(m.Payload, other.payload):
+			return fmt.Sprintf("%s has no payload of %s", node.Name, other.Name)
+		case other.View == nil && known && m.State <= fleetwire.Suspect:
+			return fmt.Sprintf("%s has %s, which is dead, as %d", node.Name, other.Name, m.State)
 		}
 	}
+	if st := node.View.Status(s.now); st.Twin {
+		return fmt.Sprintf("node %d believes in a twin", n)
+	}
 	return ""
 }
 
@@ -332,7 +356,7 @@
 // not by then.
 func (s *Sim) Until(most time.Duration) (took time.Duration, ok bool) {
 	const step = 50 * time.Millisecond
-	for took = 0; took <= most; took += step {
+	for took = 0; took <= most && !s.Interrupted(); took += step {
 		if s.Wrong() == "" {
 			return took, true
 		}
--- a/internal/lab/viewsim/sim_test.go
+++ b/internal/lab/viewsim/sim_test.go
@@ -1,6 +1,7 @@
 package viewsim
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -275,7 +276,7 @@
 	for seed := range uint64(30) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			if o := Play(seed, 0); len(o.Findings) > 0 {
+			if o := Play(context.Background(), seed, 0); len(o.Findings) > 0 {
 				t.Errorf("%v", o.Findings)
 			}
 		})
--- a/internal/lab/viewsim/size.go
+++ b/internal/lab/viewsim/size.go
@@ -1,6 +1,7 @@
 package viewsim
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -8,6 +9,17 @@
 	"thymebend/internal/members"
 )
 
+// Case is a fleet of one size under one set of troubles.
+type Case struct {
+	Seed     uint64
+	Nodes    int
+	Loss     float64      // share of the datagrams
+	Stalls   bool         // a tenth of the nodes stopped for 2 s in every 10 over the quiet stretch
+	Heal     bool         // a partition at the end
+	Baseline bool         // heartbeats in place of views
+	Without  members.Part // refinements left out
+}
+
 // Figures are what a fleet of one size does under one set of troubles.
 type Figures struct {
 	Nodes        int
@@ -22,80 +34,114 @@
 	Rest         float64         // bytes a second and node over it, IP and UDP included
 	Most         float64         // the node that sent most over it
 	CPU          float64         // processor seconds of views in a second and node over it, by this machine's clock
+	Partial      bool            // the run was interrupted: what came later is missing
 }
 
-// Measure plays a fleet of n nodes: joins all, watches a quiet stretch with loss and, if stalls is set, a tenth of the
-// nodes stopped for 2 s in every 10, then deaths and joins, then a partition if heal is set.
-func Measure(seed uint64, n int, loss float64, stalls, heal, baseline bool, without members.Part) Figures {
-	f := Figures{Nodes: n, Loss: loss, Stalls: stalls, Quiet: 60 * time.Second}
-	s := New(seed, n)
-	s.Without, s.Baseline = without, baseline
-	for i := range n {
+// Times of a measurement.
+const (
+	quietFor   = 60 * time.Second
+	lookEvery  = 250 * time.Millisecond // for false removals
+	watchEvery = 20 * time.Millisecond  // for crashes and joins
+	mostWait   = 30 * time.Second       // for a crash or join to be known
+	deaths     = 5
+)
+
+// Measure plays a fleet: joins all, watches a quiet stretch with loss and stalls, then deaths and joins, then a partition.
+// Once ctx is done it returns what it has.
+func Measure(ctx context.Context, c Case) Figures {
+	f := Figures{Nodes: c.Nodes, Loss: c.Loss, Stalls: c.Stalls}
+	s := New(c.Seed, c.Nodes)
+	s.EndWith(ctx)
+	s.Without, s.Baseline = c.Without, c.Baseline
+	for i := range c.Nodes {
 		s.At(time.Duration(i)*5*time.Millisecond, func() { s.Start(i) })
 	}
-	s.Run(time.Duration(n) * 5 * time.Millisecond)
+	s.Run(time.Duration(c.Nodes) * 5 * time.Millisecond)
 	s.Until(60 * time.Second)
 	s.Run(s.Now() + 5*time.Second)
-	s.Net.Loss = loss
+	s.Net.Loss = c.Loss
+	s.quiet(c, &f)
+	for k := 0; k < deaths && !s.Interrupted(); k++ {
+		s.deathAndJoin((k*c.Nodes/deaths+1)%c.Nodes, &f)
+	}
+	if c.Heal && !s.Interrupted() {
+		s.Net.Loss = 0
+		s.Net.Cut = func(from, to int) bool { return (from < c.Nodes/2) != (to < c.Nodes/2) }
+		s.Run(s.Now() + time.Minute)
+		s.Net.Cut = nil
+		f.Heal, _ = s.Until(60 * time.Second)
+	}
+	f.Partial = s.Interrupted()
+	return f
+}
+
+// quiet watches the stretch in which nobody dies.
+func (s *Sim) quiet(c Case, f *Figures) {
 	begin := s.Now()
-	if stalls {
-		for at := begin; at < begin+f.Quiet-4*time.Second; at += 10 * time.Second {
-			for range max(1, n/10) {
-				who := s.rng.IntN(n)
+	if c.Stalls {
+		for at := begin; at < begin+quietFor-4*time.Second; at += 10 * time.Second {
+			for range max(1, c.Nodes/10) {
+				who := s.rng.IntN(c.Nodes)
 				s.At(at+time.Duration(s.rng.Int64N(int64(8*time.Second))), func() { s.Stop(who, 2*time.Second) })
 			}
 		}
 	}
 	before := slices.Clone(s.sent)
-	s.used = 0
+	clear(s.spent)
 	alarms := s.alarms()
-	for s.Now() < begin+f.Quiet {
-		s.Run(s.Now() + 250*time.Millisecond)
+	for s.Now() < begin+quietFor && !s.Interrupted() {
+		s.Run(s.Now() + lookEvery)
 		f.FalseRemoval += s.removed()
 	}
+	f.Quiet = s.Now() - begin
+	if f.Quiet <= 0 {
+		return // interrupted before it began
+	}
 	f.FalseDoubts = s.alarms() - alarms
-	f.CPU = s.used.Seconds() / float64(n) / f.Quiet.Seconds()
+	used := time.Duration(0)
+	for _, spent := range s.spent {
+		used += spent
+	}
+	f.CPU = used.Seconds() / float64(c.Nodes) / f.Quiet.Seconds()
 	total := uint64(0)
-	for i := range n {
+	for i := range c.Nodes {
 		rate := float64(s.sent[i]-before[i]) / f.Quiet.Seconds()
 		f.Most = max(f.Most, rate)
 		total += s.sent[i] - before[i]
 	}
-	f.Rest = float64(total) / float64(n) / f.Quiet.Seconds()
-	s.Net.Loss = loss
-	for k := range 5 {
-		who := (k*n/5 + 1) % n
-		died := s.Now()
-		s.Kill(who)
-		for s.Now() < died+30*time.Second && !s.all(who, func(st fleetwire.State, known bool) bool { return known && st == fleetwire.Gone }) {
-			s.Run(s.Now() + 20*time.Millisecond)
-		}
-		f.Crash = append(f.Crash, s.Now()-died)
-		came := s.Now()
-		s.Start(who)
-		for s.Now() < came+30*time.Second && !s.all(who, func(st fleetwire.State, known bool) bool { return known && st == fleetwire.Alive }) {
-			s.Run(s.Now() + 20*time.Millisecond)
-		}
-		f.Join = append(f.Join, s.Now()-came)
-		s.Run(s.Now() + 2*time.Second)
+	f.Rest = float64(total) / float64(c.Nodes) / f.Quiet.Seconds()
+}
+
+// deathAndJoin kills a node and starts it again, and measures until all know of either.
+func (s *Sim) deathAndJoin(who int, f *Figures) {
+	died := s.Now()
+	s.Kill(who)
+	for s.Now() < died+mostWait && !s.Interrupted() && !s.all(who, fleetwire.Gone) {
+		s.Run(s.Now() + watchEvery)
 	}
-	if heal {
-		s.Net.Loss = 0
-		s.Net.Cut = func(from, to int) bool { return (from < n/2) != (to < n/2) }
-		s.Run(s.Now() + time.Minute)
-		s.Net.Cut = nil
-		f.Heal, _ = s.Until(60 * time.Second)
+	if s.Interrupted() {
+		return
 	}
-	return f
+	f.Crash = append(f.Crash, s.Now()-died)
+	came := s.Now()
+	s.Start(who)
+	for s.Now() < came+mostWait && !s.Interrupted() && !s.all(who, fleetwire.Alive) {
+		s.Run(s.Now() + watchEvery)
+	}
+	if s.Interrupted() {
+		return
+	}
+	f.Join = append(f.Join, s.Now()-came)
+	s.Run(s.Now() + 2*time.Second)
 }
 
-// all reports whether every living node but one itself holds that one as asked.
-func (s *Sim) all(who int, is func(fleetwire.State, bool) bool) bool {
+// all reports whether every living node but one itself holds that one in a state.
+func (s *Sim) all(who int, state fleetwire.State) bool {
 	for n, node := range s.Nodes {
 		if n == who || node.View == nil || node.stopped {
 			continue
 		}
-		if st, known := s.Held(n, who); !is(st, known) {
+		if st, known := s.Held(n, who); !known || st != state {
 			return false
 		}
 	}
@@ -104,20 +150,20 @@
 
 // removed counts living nodes that somebody holds for gone.
 func (s *Sim) removed() int {
-	out := make(map[string]bool)
+	out := make([]bool, len(s.Nodes))
 	for _, node := range s.Nodes {
 		if node.View == nil || node.stopped {
 			continue
 		}
-		for _, m := range node.View.Members() {
+		for m := range node.View.Others() {
 			if m.State == fleetwire.Gone {
-				out[m.Name] = true
+				out[number(m.Name)] = true
 			}
 		}
 	}
 	count := 0
-	for _, node := range s.Nodes {
-		if node.View != nil && out[node.Name] {
+	for n, node := range s.Nodes {
+		if node.View != nil && out[n] {
 			count++
 		}
 	}
--- a/internal/lab/virtual/measure.go
+++ b/internal/lab/virtual/measure.go
@@ -1,6 +1,7 @@
 package virtual
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"time"
@@ -31,8 +32,8 @@
 )
 
 // MeasurePortions plays gateways that divide hosts. Some hosts fail all requests from the ninth second on, and as many are replaced
-// with cold ones; without hearsay nobody tells of hosts found bad.
-func MeasurePortions(seed uint64, gateways, hosts int, hearsay bool) (PortionFigures, error) {
+// with cold ones; without hearsay nobody tells of hosts found bad. Once ctx is done it ends with ctx's error.
+func MeasurePortions(ctx context.Context, seed uint64, gateways, hosts int, hearsay bool) (PortionFigures, error) {
 	p, err := DrawSized(seed, sharesProfile, Size{Gateways: gateways, Hosts: hosts})
 	if err != nil {
 		return PortionFigures{}, err
@@ -90,7 +91,11 @@
 			allowed += cold.FallMultiple * warmRate * (1 + cold.From) / 2 * cold.For.Seconds()
 		}
 	})
+	w.sim.ctx = ctx
 	o := w.run()
+	if o.Partial {
+		return out, ctx.Err()
+	}
 	out.Cold, out.Refuse, out.Broken = used/allowed, float64(o.Refused)/float64(max(1, o.Tries)), o.Findings
 	out.Bytes = float64(resting) / (badFrom + badFor - restFrom).Seconds() / float64(gateways)
 	return out, nil
--- a/internal/lab/virtual/plan.go
+++ b/internal/lab/virtual/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -339,24 +340,24 @@
 }
 
 // Shrink drops faults and requests as long as the run still breaks the rule, halves first. It plays at most so
-// many runs.
-func Shrink(p Plan, rule string, most int) (Plan, int) {
+// many runs, and none once ctx is done: the plan is then the smallest so far.
+func Shrink(ctx context.Context, p Plan, rule string, most int) (Plan, int) {
 	runs := 0
 	breaks := func(q Plan) bool {
 		runs++
-		return slices.ContainsFunc(Play(q, nil).Findings, func(f Finding) bool { return f.Rule == rule })
+		return slices.ContainsFunc(PlayContext(ctx, q, nil).Findings, func(f Finding) bool { return f.Rule == rule })
 	}
-	for again := true; again && runs < most; {
+	for again := true; again && runs < most && ctx.Err() == nil; {
 		again = false
 		p.Faults = reduce(p.Faults, func(part []Fault) bool {
 			q := p
 			q.Faults = part
-			return runs < most && breaks(q)
+			return runs < most && ctx.Err() == nil && breaks(q)
 		}, &again)
 		p.Requests = reduce(p.Requests, func(part []Request) bool {
 			q := p
 			q.Requests = part
-			return runs < most && breaks(q)
+			return runs < most && ctx.Err() == nil && breaks(q)
 		}, &again)
 	}
 	return p, runs
--- a/internal/lab/virtual/sim.go
+++ b/internal/lab/virtual/sim.go
@@ -5,6 +5,7 @@
 
 import (
 	"container/heap"
+	"context"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -25,6 +26,7 @@
 	hash  xxh3.Hasher
 	trace io.Writer
 	steps uint64
+	ctx   context.Context // ends the run early; never nil
 }
 
 type event struct {
@@ -54,7 +56,7 @@
 
 // NewSim starts a run. trace gets a line for each thing noted; it may be nil.
 func NewSim(seed uint64, trace io.Writer) *Sim {
-	return &Sim{Rand: rand.New(rand.NewPCG(seed, 0x7e57)), now: epoch, trace: trace}
+	return &Sim{Rand: rand.New(rand.NewPCG(seed, 0x7e57)), now: epoch, trace: trace, ctx: context.Background()}
 }
 
 // Now is the virtual time.
@@ -72,9 +74,15 @@
 // After has something done after a time.
 func (s *Sim) After(d time.Duration, do func()) { s.At(s.now+d, do) }
 
-// Run lets time pass until nothing is left to happen before a time.
+// interruptCheckSteps is how many events pass between looks at whether the run was interrupted.
+const interruptCheckSteps = 256
+
+// Run lets time pass until nothing is left to happen before a time, or until the run is interrupted.
 func (s *Sim) Run(until time.Duration) {
 	for len(s.due) > 0 && s.due[0].at <= until {
+		if s.steps%interruptCheckSteps == 0 && s.interrupted() {
+			return
+		}
 		e := heap.Pop(&s.due).(*event)
 		s.now = e.at
 		s.steps++
@@ -83,6 +91,9 @@
 	s.now = max(s.now, until)
 }
 
+// interrupted reports whether the run was told to end early.
+func (s *Sim) interrupted() bool { return s.ctx.Err() != nil }
+
 // Steps is how many things have happened.
 func (s *Sim) Steps() uint64 { return s.steps }
 
--- a/internal/lab/virtual/world.go
+++ b/internal/lab/virtual/world.go
@@ -1,6 +1,7 @@
 package virtual
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -64,6 +65,7 @@
 	Steps    uint64
 	Lasted   time.Duration // of virtual time
 	Sums     string        // of a fleet: the most in a second
+	Partial  bool          // the run was interrupted
 }
 
 type world struct {
@@ -120,8 +122,14 @@
 }
 
 // Play runs a plan. trace gets a line for each thing that happens; it may be nil.
-func Play(p Plan, trace io.Writer) Outcome {
-	return play(p, trace, func(r loop.Reducer) loop.Reducer { return r })
+func Play(p Plan, trace io.Writer) Outcome { return PlayContext(context.Background(), p, trace) }
+
+// PlayContext runs a plan until it is over or ctx is done. In the second case the outcome is Partial: it holds what was
+// found until then, and nothing was compared at the end.
+func PlayContext(ctx context.Context, p Plan, trace io.Writer) Outcome {
+	w := newWorld(p, trace, func(r loop.Reducer) loop.Reducer { return r })
+	w.sim.ctx = ctx
+	return w.run()
 }
 
 // play runs a plan with each gateway wrapped; tests plant defects so.
@@ -165,6 +173,7 @@
 	if w.beliefs != nil {
 		sim.Run(sim.Now() + agreeFor)
 	}
+	found := len(w.found) // what an interrupted run shows afterwards is no finding
 	w.quiet()
 	if w.beliefs != nil {
 		w.portions()
@@ -172,6 +181,9 @@
 	}
 	w.stopAll()
 	w.compare()
+	if sim.interrupted() {
+		w.found = w.found[:found]
+	}
 	return w.outcome()
 }
 
@@ -512,7 +524,8 @@
 }
 
 func (w *world) outcome() Outcome {
-	o := Outcome{Hash: w.sim.Hash(), Findings: w.found, Tries: w.asked, Steps: w.sim.Steps(), Lasted: w.sim.Since(), Sums: w.tolls.String()}
+	o := Outcome{Hash: w.sim.Hash(), Findings: w.found, Tries: w.asked, Steps: w.sim.Steps(), Lasted: w.sim.Since(), Sums: w.tolls.String(),
+		Partial: w.sim.interrupted()}
 	for s, n := range w.statuses {
 		switch {
 		case s == 200:
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"fmt"
+	"iter"
 	"math"
 	"math/bits"
 	"math/rand/v2"
@@ -429,6 +430,29 @@
 	return slices.Insert(out, at, v.self.Member)
 }
 
+// Find returns what is known of one member by its name, this gateway included.
+func (v *View) Find(name string) (Member, bool) {
+	if name == v.self.Name {
+		return v.self.Member, true
+	}
+	m := v.members[name]
+	if m == nil {
+		return Member{}, false
+	}
+	return m.Member, true
+}
+
+// Others yields all other members that are known, by name, without a copy of the list. They must not be changed or kept.
+func (v *View) Others() iter.Seq[*Member] {
+	return func(yield func(*Member) bool) {
+		for _, m := range v.order {
+			if !yield(&m.Member) {
+				return
+			}
+		}
+	}
+}
+
 // Status tells how the view stands.
 func (v *View) Status(now time.Duration) Status {
 	s := Status{Version: v.version, Alive: 1, Known: 1, QuietFor: max(0, now-v.changed), Health: v.health,
