--- a/internal/loop/sockets.go
+++ b/internal/loop/sockets.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"net/netip"
+	"slices"
 
 	"golang.org/x/sys/unix"
 )
@@ -30,6 +31,9 @@
 	l.gen++
 	s.gen = l.gen
 	l.byConn[s.conn], l.byFD[s.fd] = s, s
+	if s.urgent {
+		l.urgent = append(l.urgent, s)
+	}
 	s.armed = s.wanted()
 	event := unix.EpollEvent{Events: s.armed, Fd: int32(s.fd), Pad: s.gen}
 	if err := unix.EpollCtl(l.epoll, unix.EPOLL_CTL_ADD, s.fd, &event); err != nil {
@@ -56,6 +60,11 @@
 	}
 }
 
+// talks reports whether the socket is a connection that is up and read.
+func (s *socket) talks() bool {
+	return !s.connecting && !s.muted && !s.datagrams && s.conn != Listener && s.conn != Control && s.conn != Handover
+}
+
 func (l *Loop) arm(s *socket) {
 	want := s.wanted()
 	if want == s.armed {
@@ -71,6 +80,7 @@
 func (l *Loop) remove(s *socket) {
 	delete(l.byConn, s.conn)
 	delete(l.byFD, s.fd)
+	l.urgent = slices.DeleteFunc(l.urgent, func(other *socket) bool { return other == s })
 	if s.shared {
 		// Another process has the socket too: epoll would go on telling of it after this descriptor is closed, and
 		// refuse its number to the next socket.
@@ -142,7 +152,8 @@
 	l.tell(Event{Kind: Connected, Conn: s.conn})
 }
 
-// read tells one buffer of what has come. The next Readable brings the rest. Where data of another socket is
+// read tells one buffer of what has come. The next Readable brings the rest; on an urgent socket that comes at once, so that
+// a long list is told whole before the turn's dispatch. Where data of another socket is
 // not yet told, it needs a buffer of its own, or the one would be told with the bytes of the other.
 func (l *Loop) read(s *socket) {
 	if s.datagrams {
@@ -169,7 +180,7 @@
 	default:
 		l.bufInUse = true
 		l.tell(Event{Kind: Data, Conn: s.conn, Data: buf[:n], Passed: passed})
-		if s.ending {
+		if s.ending || s.urgent && n == len(buf) {
 			l.tell(Event{Kind: more, Conn: s.conn})
 		}
 	}
