--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -15,39 +15,17 @@
 	"thymebend/internal/duties"
 )
 
-// disk keeps what a voter gives it.
+// disk keeps what a voter gives it, until it is full.
 type disk struct {
-	state    raftpb.HardState
-	snapshot raftpb.Snapshot
-	entries  []raftpb.Entry
-	full     bool
-	writes   int
+	Memory
+	full bool
 }
 
 func (d *disk) keep(k Kept) error {
 	if d.full {
 		return errors.New("no space left")
 	}
-	d.writes++
-	if !raft.IsEmptyHardState(k.State) {
-		d.state = k.State
-	}
-	if !raft.IsEmptySnap(k.Snapshot) {
-		d.snapshot = k.Snapshot
-		d.entries = slices.DeleteFunc(slices.Clone(d.entries), func(e raftpb.Entry) bool { return e.Index <= k.Snapshot.Metadata.Index })
-	}
-	if len(k.Entries) > 0 {
-		d.entries = slices.DeleteFunc(slices.Clone(d.entries), func(e raftpb.Entry) bool { return e.Index >= k.Entries[0].Index })
-		d.entries = append(d.entries, k.Entries...)
-	}
-	return nil
-}
-
-func (d *disk) kept() *Kept {
-	if d.writes == 0 {
-		return nil
-	}
-	return &Kept{State: d.state, Snapshot: d.snapshot, Entries: slices.Clone(d.entries)}
+	return d.Keep(k)
 }
 
 // voter is a process that runs a node, or has ended.
@@ -114,7 +92,7 @@
 
 func (c *cluster) start(id uint64) {
 	v := c.voters[id]
-	cfg := Config{ID: id, Voters: c.first, Kept: v.disk.kept(), Seed: c.rng.Uint64()}
+	cfg := Config{ID: id, Voters: c.first, Kept: v.disk.Kept(), Seed: c.rng.Uint64()}
 	if !slices.Contains(c.first, id) {
 		cfg.Voters = nil
 	}
@@ -519,3 +497,56 @@
 		}
 	}
 }
+
+// A voter whose votes come late leads with a quorum like any other: what it waited as a candidate is no silence of a leader.
+func TestALateElectionIsAQuorum(t *testing.T) {
+	nodes := make(map[uint64]*Node)
+	for id := uint64(1); id <= 3; id++ {
+		n, err := New(Config{ID: id, Voters: []uint64{1, 2, 3}, Seed: 3}, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		nodes[id] = n
+	}
+	keep := func(Kept) error { return nil }
+	now := time.Duration(0)
+	tick := func() []Message {
+		now += TickEvery
+		nodes[1].Tick(now)
+		out, err := nodes[1].Take(keep)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return out.Messages
+	}
+	var post []Message
+	for len(post) == 0 {
+		post = tick()
+	}
+	for nodes[1].silent < electionTicks+1 { // before it campaigns again
+		if tick(); nodes[1].silent == 0 {
+			t.Fatal("this seed's patience is too short")
+		}
+	}
+	from := make(map[string]uint64)
+	for _, m := range post {
+		from[string(m.Data)] = 1
+	}
+	for ; len(post) > 0; post = post[1:] {
+		to := nodes[post[0].To]
+		if err := to.Hear(now, from[string(post[0].Data)], post[0].Data); err != nil {
+			t.Fatal(err)
+		}
+		out, err := to.Take(keep)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range out.Messages {
+			from[string(m.Data)] = to.Status().ID
+		}
+		post = append(post, out.Messages...)
+	}
+	if s := nodes[1].Status(); !s.Leads || !s.Quorum {
+		t.Errorf("%+v", s)
+	}
+}
