Play the control of a whole fleet by 'thymelab scale', with faults, fits over sizes and plots

Change: package internal/lab/scale puts hollow gateways on the view's simulator and the rollout's control machines and agents on the same clock, by the same zones and regions; some gateways hold the whole list of hosts, divide it and read settings of all tenants. Measured: bytes sent and received, mean and worst gateway; processor time of the thread; heap; time until a crash, a join and a change of configuration are known or in force at half, 99% and all; false removals at 32 observers. SIGINT and SIGTERM end it with what it has, marked partial (code 4).

The simulator counts what arrives at a node too, and takes a latency between nodes and payloads; processor time of a thread is in internal/lab/cputime.

Tests: slopes of bytes and heap over 16 to 64 gateways, 64 gateways with loss, stalls, failures and changes, a zone and parted regions, same seed same run, bad options and files by field, line and column; 3 s.

--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -71,6 +71,7 @@
 	Seeds    seedsCmd    `cmd:"" help:"Play seeded fault runs of the whole gateway on a virtual clock."`
 	Drill    drillCmd    `cmd:"" help:"Start several gateways with relays between them, break paths and processes, and hold the rules."`
 	Shares   sharesCmd   `cmd:"" help:"Compare ways to divide hosts among gateways."`
+	Scale    scaleCmd    `cmd:"" help:"Play the control of a whole fleet at its full size on the virtual clock."`
 	View     viewCmd     `cmd:"" help:"Measure the fleet's view of itself on the virtual clock."`
 	Rollouts rolloutsCmd `cmd:"" help:"Play or measure the spread of configuration changes on the virtual clock."`
 	Replay   replayCmd   `cmd:"" help:"Play one seed again to the letter, trace it, and reduce it to a small plan."`
@@ -85,7 +86,7 @@
 	e := &env{ctx: ctx, out: out, err: errOut, log: zerolog.New(zerolog.ConsoleWriter{Out: errOut, TimeFormat: time.TimeOnly,
 		NoColor: !terminal(errOut)}).With().Timestamp().Logger()}
 	exited := -1
-	parser, err := kong.New(&grammar{}, kong.Name("thymelab"), kong.Bind(e), kong.Writers(out, errOut),
+	parser, err := kong.New(&grammar{}, kong.Name("thymelab"), kong.Bind(e), kong.Vars(scaleVars()), kong.Writers(out, errOut),
 		kong.Exit(func(code int) { exited = code }), kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
 		kong.Description("The laboratory of thymebend: emulated hosts and discovery, an open-loop load tool, experiments and reports.\n\n"+
 			"A first try: thymelab run experiments/calm.toml --out /tmp/calm"))
--- a/internal/lab/cli/cli_test.go
+++ b/internal/lab/cli/cli_test.go
@@ -26,7 +26,7 @@
 	if code != 0 || !strings.Contains(out, "thymelab run experiments/calm.toml") {
 		t.Errorf("%d %s", code, out)
 	}
-	for _, c := range []string{"run", "load", "fleet", "compare", "trace", "drill", "shares", "view"} {
+	for _, c := range []string{"run", "load", "fleet", "compare", "trace", "drill", "shares", "view", "scale"} {
 		if code, out, _ := call(c, "--help"); code != 0 || !strings.Contains(out, "Example") || !strings.Contains(out, "thymelab "+c) {
 			t.Errorf("%s: %d %s", c, code, out)
 		}
--- a/internal/lab/cli/early_test.go
+++ b/internal/lab/cli/early_test.go
@@ -47,6 +47,7 @@
 		"shares":           sharesCmd{Seed: 1},
 		"replay members":   replayCmd{Seed: 1, Profile: membersProfile, sizeFlags: sizeFlags{Gateways: 500}},
 		"plan":             planCmd{File: plan},
+		"scale":            scaleCmd{Gateways: 300, Hosts: 100, Tenants: -1, Full: -1, Loss: -1, Stalls: -1, Restarts: -1, Failures: -1, Changes: -1, JSON: "-"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- /dev/null
+++ b/internal/lab/scale/changes.go
@@ -0,0 +1,137 @@
+package scale
+
+import (
+	"time"
+
+	"thymebend/internal/lab/rolloutsim"
+	"thymebend/internal/rollout/content"
+)
+
+// Times of changes of configuration.
+const (
+	electionWithin = 5 * time.Second
+	bootWithin     = 5 * time.Minute
+	firstWithin    = 5 * time.Minute
+	changeAim      = 8 * time.Second // until in force everywhere
+)
+
+// change is one of configuration, followed until all that lived since it was submitted have it.
+type change struct {
+	submitted       time.Duration
+	number          uint64 // 0 until it is committed
+	half, most, all time.Duration
+}
+
+// startControl starts the control machines and has them take the whole configuration.
+func (r *run) startControl() {
+	for i := range r.rollouts.Controls {
+		r.rollouts.StartControl(i)
+	}
+	r.told(Progress{Phase: "storing the configuration", Of: bootWithin})
+	r.sim.Run(r.sim.Now() + electionWithin)
+	stored := false
+	var next func(list [][]content.Change)
+	next = func(list [][]content.Change) {
+		if len(list) == 0 {
+			stored = true
+			return
+		}
+		r.rollouts.Submit(list[0], func(content.Ref, error) { next(list[1:]) })
+	}
+	next(rolloutsim.Bootstrap(r.size(), r.rng))
+	for end := r.sim.Now() + bootWithin; !stored && r.sim.Now() < end && !r.sim.Interrupted(); {
+		r.sim.Run(r.sim.Now() + 100*time.Millisecond)
+	}
+	r.sim.Run(r.sim.Now() + electionWithin)
+}
+
+// awaitFirst waits until all have the first whole configuration in force.
+func (r *run) awaitFirst() {
+	r.told(Progress{Phase: "fetching the configuration", Of: firstWithin})
+	begin := r.knowledge.born[0]
+	for end := r.sim.Now() + firstWithin; r.sim.Now() < end && !r.sim.Interrupted(); {
+		if have, up := r.rollouts.InForce(r.rollouts.Newest()); have == up {
+			r.first = r.sim.Now() - begin
+			return
+		}
+		r.sim.Run(r.sim.Now() + lookEvery)
+	}
+}
+
+// scheduleChanges draws when configuration changes in the measured time, which begins now.
+func (r *run) scheduleChanges() {
+	if r.rollouts == nil {
+		return
+	}
+	begin := r.sim.Now()
+	for range r.options.Changes {
+		r.sim.At(begin+r.between(0, r.options.For), r.submit)
+	}
+}
+
+func (r *run) submit() {
+	c := &change{submitted: r.sim.Now()}
+	r.changes = append(r.changes, c)
+	r.rollouts.Submit(rolloutsim.Change(r.size(), r.rng), func(ref content.Ref, err error) { c.number = ref.Number })
+}
+
+// lookAtChanges counts who has which change in force.
+func (r *run) lookAtChanges() {
+	for _, c := range r.changes {
+		if c.number > 0 && c.all == 0 {
+			r.lookAtChange(c)
+		}
+	}
+}
+
+func (r *run) lookAtChange(c *change) {
+	lived, have := 0, 0
+	for n, g := range r.rollouts.Gateways {
+		if !r.sim.Runs(n) || r.knowledge.born[n] > c.submitted {
+			continue
+		}
+		lived++
+		if g.Running.Ref.Number >= c.number {
+			have++
+		}
+	}
+	took := r.sim.Now() - c.submitted
+	if c.half == 0 && 2*have >= lived {
+		c.half = took
+	}
+	if c.most == 0 && 100*have >= 99*lived {
+		c.most = took
+	}
+	if have == lived {
+		c.all = took
+	}
+}
+
+// sumConfiguration fills in how the changes of the run have spread.
+func (r *run) sumConfiguration() {
+	out := r.result.Configuration
+	if out == nil {
+		return
+	}
+	out.First = seconds(r.first)
+	var half, most, all []time.Duration
+	for _, c := range r.changes {
+		out.Submitted++
+		if c.all == 0 {
+			out.Unfinished++
+			continue
+		}
+		half, most, all = append(half, c.half), append(most, c.most), append(all, c.all)
+		if c.all > changeAim {
+			out.Late++
+		}
+	}
+	out.Median = Times{median(half), median(most), median(all)}
+	out.Worst = Times{worst(half), worst(most), worst(all)}
+	for _, c := range r.rollouts.Controls {
+		if c.Controller != nil {
+			out.MostLinks = max(out.MostLinks, c.Controller.Subscribers())
+		}
+	}
+	out.BrokenRules = append(out.BrokenRules, r.rollouts.Findings...)
+}
--- /dev/null
+++ b/internal/lab/scale/fit.go
@@ -0,0 +1,245 @@
+package scale
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"strings"
+
+	"thymebend/internal/lab/report"
+)
+
+// Line is a figure as a function of the number of gateways, fitted by least squares: Base + Slope*n, or where that leaves
+// less, Base*n^Slope.
+type Line struct {
+	Figure   string    `json:"figure"`
+	Power    bool      `json:"power"` // the second form
+	Base     float64   `json:"base"`
+	Slope    float64   `json:"slope"`
+	Residual float64   `json:"residual"` // root of the mean square of what is left, relative to the mean of the figures
+	Sizes    []float64 `json:"sizes"`
+	Figures  []float64 `json:"figures"`
+}
+
+// At is what the line says of a size.
+func (l *Line) At(n float64) float64 {
+	if l.Power {
+		return l.Base * math.Pow(n, l.Slope)
+	}
+	return l.Base + l.Slope*n
+}
+
+// FitLine fits both forms and returns the one that leaves less.
+func FitLine(figure string, sizes, figures []float64) Line {
+	straight := Line{Figure: figure, Sizes: sizes, Figures: figures}
+	straight.Base, straight.Slope = leastSquares(sizes, figures)
+	straight.Residual = straight.left()
+	power := Line{Figure: figure, Sizes: sizes, Figures: figures, Power: true}
+	var logSizes, logFigures []float64
+	for i, y := range figures {
+		if y <= 0 || sizes[i] <= 0 {
+			return straight
+		}
+		logSizes, logFigures = append(logSizes, math.Log(sizes[i])), append(logFigures, math.Log(y))
+	}
+	base, slope := leastSquares(logSizes, logFigures)
+	power.Base, power.Slope = math.Exp(base), slope
+	if power.Residual = power.left(); power.Residual < straight.Residual {
+		return power
+	}
+	return straight
+}
+
+// leastSquares fits y = base + slope*x.
+func leastSquares(xs, ys []float64) (base, slope float64) {
+	meanX, meanY := mean(xs), mean(ys)
+	above, below := 0.0, 0.0
+	for i, x := range xs {
+		above += (x - meanX) * (ys[i] - meanY)
+		below += (x - meanX) * (x - meanX)
+	}
+	if below > 0 {
+		slope = above / below
+	}
+	return meanY - slope*meanX, slope
+}
+
+func mean(list []float64) float64 {
+	sum := 0.0
+	for _, v := range list {
+		sum += v
+	}
+	return sum / float64(max(1, len(list)))
+}
+
+func (l *Line) left() float64 {
+	sum := 0.0
+	for i, n := range l.Sizes {
+		d := l.Figures[i] - l.At(n)
+		sum += d * d
+	}
+	scale := math.Abs(mean(l.Figures))
+	if scale == 0 || len(l.Sizes) == 0 {
+		return 0
+	}
+	return math.Sqrt(sum/float64(len(l.Sizes))) / scale
+}
+
+// Prediction is a figure of the size that was left out of the fits.
+type Prediction struct {
+	Figure    string  `json:"figure"`
+	Size      int     `json:"size"`
+	Predicted float64 `json:"predicted"`
+	Measured  float64 `json:"measured"`
+}
+
+// Sweep is runs of several sizes.
+type Sweep struct {
+	Partial     bool         `json:"partial"`
+	LeftOut     int          `json:"left_out"` // of the fits; 0: none
+	Results     []*Result    `json:"results"`
+	Lines       []Line       `json:"lines"`
+	Predictions []Prediction `json:"predictions"`
+}
+
+// figure is one that is fitted.
+type figure struct {
+	name string
+	of   func(r *Result) float64
+}
+
+func figures() []figure {
+	return []figure{
+		{"view, bytes sent a second, mean", func(r *Result) float64 { return r.Gateway.View.Sent.Mean }},
+		{"view, bytes sent a second, worst gateway", func(r *Result) float64 { return r.Gateway.View.Sent.Worst }},
+		{"all control, bytes sent a second, mean", func(r *Result) float64 { return r.Gateway.All.Sent.Mean }},
+		{"all control, bytes received a second, mean", func(r *Result) float64 { return r.Gateway.All.Received.Mean }},
+		{"processor, share of a core, mean", func(r *Result) float64 { return r.Gateway.Processor.Mean }},
+		{"processor, share of a core, worst gateway", func(r *Result) float64 { return r.Gateway.Processor.Worst }},
+		{"heap, bytes, mean", func(r *Result) float64 { return float64(r.Gateway.HeapMean) }},
+		{"start of all: bytes sent, mean", func(r *Result) float64 { return r.Start.Sent.Mean }},
+		{"start of all: processor seconds, mean", func(r *Result) float64 { return r.Start.Processor.Mean }},
+		{"start of all: settled after, s", func(r *Result) float64 { return r.Start.Settled }},
+	}
+}
+
+// Fit fits the figures of the sizes that are not left out, and predicts those of the one that is.
+func (s *Sweep) Fit() {
+	s.Lines, s.Predictions = []Line{}, []Prediction{}
+	for _, f := range figures() {
+		var sizes, values []float64
+		var out *Result
+		for _, r := range s.Results {
+			if r.Options.Gateways == s.LeftOut {
+				out = r
+				continue
+			}
+			sizes, values = append(sizes, float64(r.Options.Gateways)), append(values, f.of(r))
+		}
+		if len(sizes) < 2 {
+			continue
+		}
+		line := FitLine(f.name, sizes, values)
+		s.Lines = append(s.Lines, line)
+		if out != nil {
+			s.Predictions = append(s.Predictions, Prediction{f.name, s.LeftOut, line.At(float64(s.LeftOut)), f.of(out)})
+		}
+	}
+}
+
+// Text words the fits.
+func (s *Sweep) Text() string {
+	var b strings.Builder
+	for _, l := range s.Lines {
+		form := fmt.Sprintf("%.4g + %.4g n", l.Base, l.Slope)
+		if l.Power {
+			form = fmt.Sprintf("%.4g n^%.3f", l.Base, l.Slope)
+		}
+		fmt.Fprintf(&b, "%-45s %-24s residual %.1f%%\n", l.Figure, form, 100*l.Residual)
+	}
+	for _, p := range s.Predictions {
+		fmt.Fprintf(&b, "%-45s at %d, left out of the fit: predicted %.4g, measured %.4g\n", p.Figure, p.Size, p.Predicted, p.Measured)
+	}
+	if s.Partial {
+		fmt.Fprintln(&b, "partial: told to end before all sizes were played")
+	}
+	return b.String()
+}
+
+// Broken is the first broken rule of a run, or nothing.
+func (r *Result) Broken() string {
+	if len(r.BrokenRules) > 0 {
+		return r.BrokenRules[0]
+	}
+	if c := r.Configuration; c != nil && len(c.BrokenRules) > 0 {
+		return c.BrokenRules[0]
+	}
+	return ""
+}
+
+// Text words a run.
+func Text(r *Result) string {
+	var b strings.Builder
+	o, g := &r.Options, &r.Gateway
+	fmt.Fprintf(&b, "%d gateways, %d zones, %d regions, loss %.0f%%, stalls %.0f%%, seed %d: %.0f s measured in %.1f s\n", o.Gateways, o.Zones, o.Regions,
+		100*o.Loss, 100*o.Stalls, o.Seed, r.Lasted, r.Took)
+	if r.Partial {
+		fmt.Fprintln(&b, "  partial: told to end before it was through")
+	}
+	fmt.Fprintf(&b, "  start of all: settled after %.2f s, %.0f bytes sent by a gateway (worst %.0f), %.3f s of processor (worst %.3f)\n", r.Start.Settled,
+		r.Start.Sent.Mean, r.Start.Sent.Worst, r.Start.Processor.Mean, r.Start.Processor.Worst)
+	fmt.Fprintf(&b, "  a gateway, mean / worst: sent %.0f / %.0f bytes a second (view %.0f / %.0f), received %.0f / %.0f\n", g.All.Sent.Mean, g.All.Sent.Worst,
+		g.View.Sent.Mean, g.View.Sent.Worst, g.All.Received.Mean, g.All.Received.Worst)
+	fmt.Fprintf(&b, "  processor %.4f%% / %.4f%% of a core, heap %.2f MB in the mean\n", 100*g.Processor.Mean, 100*g.Processor.Worst, float64(g.HeapMean)/1e6)
+	fmt.Fprintf(&b, "  crash known: %s\n  join known:  %s\n", r.Crash, r.Join)
+	fmt.Fprintf(&b, "  false doubts %d, false removals seen by %d observers %d; all views true %.2f s after the run\n", r.Doubts, r.Observers, r.Removals, r.Recovered)
+	if c := r.Configuration; c != nil {
+		fmt.Fprintf(&b, "  configuration: first in force everywhere after %.2f s; %d changes, %d unfinished, %d later than 8 s; median %s, worst %s\n", c.First,
+			c.Submitted, c.Unfinished, c.Late, c.Median, c.Worst)
+		fmt.Fprintf(&b, "  control machine, mean / worst: sent %.0f / %.0f, received %.0f / %.0f bytes a second, %.2f%% / %.2f%% of a core, %d gateways at most\n",
+			c.ControlSent.Mean, c.ControlSent.Worst, c.ControlTaken.Mean, c.ControlTaken.Worst, 100*c.ControlUsed.Mean, 100*c.ControlUsed.Worst, c.MostLinks)
+	}
+	if f := r.Full; f != nil {
+		fmt.Fprintf(&b, "  full gateway: settings %.3f s and %.1f MB, list %.3f s and %.1f MB, division %.3f s at most and %.2f%% of a core in the run\n", f.SettingsTime,
+			float64(f.SettingsHeap)/1e6, f.ListTime, float64(f.ListHeap)/1e6, f.DivisionLongest, 100*f.DivisionShare.Mean)
+		for _, p := range f.Problems {
+			fmt.Fprintln(&b, "    "+p)
+		}
+	}
+	return b.String()
+}
+
+// String words times.
+func (t Times) String() string {
+	return fmt.Sprintf("half %.2f s, 99%% %.2f s, all %.2f s", t.Half, t.Most, t.All)
+}
+
+// String words a spread.
+func (s Spread) String() string {
+	if s.Count == 0 {
+		return "none happened"
+	}
+	return fmt.Sprintf("%d, median %s, worst %s, %d overtaken or unfinished", s.Count, s.Median, s.Worst, s.Unfinished)
+}
+
+// PlotSeconds draws what gateways sent by second.
+func PlotSeconds(out io.Writer, r *Result) error {
+	average, most := report.Series{Name: "mean"}, report.Series{Name: "worst gateway"}
+	for _, s := range r.Seconds {
+		average.Xs, average.Ys = append(average.Xs, s.At), append(average.Ys, s.Mean)
+		most.Xs, most.Ys = append(most.Xs, s.At), append(most.Ys, s.Worst)
+	}
+	return report.Plot(out, fmt.Sprintf("Sent by a gateway of %d (%.0f%% loss)", r.Options.Gateways, 100*r.Options.Loss), "s", "bytes a second",
+		[]report.Series{average, most})
+}
+
+// PlotSizes draws what gateways sent by size.
+func PlotSizes(out io.Writer, s *Sweep) error {
+	average, most := report.Series{Name: "mean"}, report.Series{Name: "worst gateway"}
+	for _, r := range s.Results {
+		n := float64(r.Options.Gateways)
+		average.Xs, average.Ys = append(average.Xs, n), append(average.Ys, r.Gateway.All.Sent.Mean)
+		most.Xs, most.Ys = append(most.Xs, n), append(most.Ys, r.Gateway.All.Sent.Worst)
+	}
+	return report.Plot(out, "Sent by a gateway for control", "gateways", "bytes a second", []report.Series{average, most})
+}
--- /dev/null
+++ b/internal/lab/scale/full.go
@@ -0,0 +1,212 @@
+package scale
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"slices"
+	"time"
+
+	"thymebend"
+	"thymebend/internal/fleetfile"
+	"thymebend/internal/fleetwire"
+	"thymebend/internal/hostgroup"
+	"thymebend/internal/lab/cputime"
+	"thymebend/internal/lab/viewsim"
+	"thymebend/internal/settings"
+	"thymebend/internal/shares"
+)
+
+// demand is what each gateway carries, in requests a second: 220,000 over 870.
+const demand = 250
+
+// fullGateway holds, beside its view, what a gateway has of hosts and settings. Its processor time is counted apart.
+type fullGateway struct {
+	number   int
+	group    *hostgroup.Group
+	settings settings.Settings
+	module   *thymebend.Balancer
+	keeper   *shares.Keeper
+	hosts    []shares.Host
+	places   places
+
+	version  uint64 // of the view at the last look
+	settled  bool
+	spent    time.Duration
+	longest  time.Duration // of one look
+	divided  int           // looks that worked out a division
+	problems []string
+}
+
+// begun is what it costs a gateway to take its list and settings as it starts.
+type begun struct {
+	ListTime, SettingsTime time.Duration
+	ListHeap, SettingsHeap uint64
+}
+
+// silent takes the decisions of a module that has no requests.
+type silent struct{}
+
+func (silent) Send(thymebend.RequestID, thymebend.ServerID, time.Duration) {}
+func (silent) Refuse(thymebend.RequestID, time.Duration)                   {}
+func (silent) Fail(thymebend.RequestID)                                    {}
+func (silent) Cancel(thymebend.RequestID, int)                             {}
+func (silent) Wake(time.Duration, uint32)                                  {}
+func (silent) Close(thymebend.ServerID)                                    {}
+func (silent) Watch()                                                      {}
+func (silent) Log(string)                                                  {}
+
+// newFullGateway starts one with the whole list and the settings.
+func newFullGateway(number int, name string, o *Options, p places, now time.Duration) (*fullGateway, begun, error) {
+	g := &fullGateway{number: number, places: p}
+	var cost begun
+	rawSettings, err := settingsText(o)
+	if err != nil {
+		return nil, cost, err
+	}
+	rawList, err := listText(o)
+	if err != nil {
+		return nil, cost, err
+	}
+	cost.SettingsTime, cost.SettingsHeap = weighed(func() {
+		if g.settings, err = settings.ParseJSON(rawSettings); err != nil {
+			return
+		}
+		g.module, err = thymebend.New(g.settings.Config, o.Seed, now, silent{})
+	})
+	if err != nil {
+		return nil, cost, err
+	}
+	cost.ListTime, cost.ListHeap = weighed(func() {
+		g.group = hostgroup.New(g.settings.Gateway.Zones)
+		var news hostgroup.News
+		if news, err = g.group.Apply(rawList); err != nil {
+			return
+		}
+		g.module.List(now, thymebend.ListFull, news.Entries)
+		g.module.Dispatch(now)
+	})
+	if err != nil {
+		return nil, cost, err
+	}
+	for _, h := range g.group.All() {
+		g.hosts = append(g.hosts, shares.Host{ID: uint64(h.ID), Capacity: h.Share, Zone: h.Zone})
+	}
+	usual := fleetfile.Usual()
+	rule := shares.Rule{Users: float64(usual.Users), Most: usual.Most, Least: usual.Least, Away: usual.Away}
+	g.keeper = shares.NewKeeper(rule, name, newsWithin, nil)
+	return g, cost, nil
+}
+
+// newsWithin is how long a change of the view takes to reach the last gateway, as the gateway has it.
+const newsWithin = time.Second
+
+// look follows the view as a gateway does with its samples: what moved in it may divide the hosts anew.
+func (g *fullGateway) look(sim *viewsim.Sim) {
+	if !sim.Runs(g.number) {
+		return
+	}
+	began := cputime.Thread()
+	view := sim.Nodes[g.number].View
+	now := sim.Now()
+	status := view.Status(now + viewsim.Epoch)
+	due, timed := g.keeper.Due()
+	if status.Version == g.version && status.Settled == g.settled && !(timed && now >= due) {
+		return
+	}
+	g.version, g.settled = status.Version, status.Settled
+	var alive []shares.Gateway
+	for n, m := range view.Members() {
+		if m.State == fleetwire.Alive {
+			alive = append(alive, shares.Gateway{Name: m.Name, Demand: demand, Zone: g.places.zone(n)})
+		}
+	}
+	changed, err := g.keeper.Look(now, shares.Look{Alive: alive, Settled: status.Settled, Hosts: g.hosts})
+	if err != nil && len(g.problems) < 5 {
+		g.problems = append(g.problems, err.Error())
+	}
+	if changed {
+		g.divided++
+	}
+	took := cputime.Thread() - began
+	g.spent += took
+	g.longest = max(g.longest, took)
+}
+
+// weighed is the processor time that something takes, and the heap that it leaves in use.
+func weighed(do func()) (took time.Duration, heap uint64) {
+	before := heapInUse()
+	began := cputime.Thread()
+	do()
+	took = cputime.Thread() - began
+	return took, heapInUse() - min(before, heapInUse())
+}
+
+// heapInUse is what the heap holds that is still reached.
+func heapInUse() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// listText words a whole list as discovery does.
+func listText(o *Options) ([]byte, error) {
+	type host struct {
+		Host   string  `json:"host"`
+		Dial   string  `json:"dial"`
+		Site   string  `json:"site"`
+		Block  int     `json:"block"`
+		Health string  `json:"health"`
+		Born   float64 `json:"born_ms"`
+		Share  float64 `json:"share"`
+	}
+	doc := struct {
+		Seq   int    `json:"seq"`
+		Whole bool   `json:"whole"`
+		Hosts []host `json:"hosts"`
+	}{1, true, nil}
+	for i := range o.Hosts {
+		doc.Hosts = append(doc.Hosts, host{Host: fmt.Sprintf("host-%05d.service-%03d", i, i%o.Services), Dial: fmt.Sprintf("10.%d.%d.%d:8080", 64+i>>16, i>>8&255, i&255),
+			Site: zoneName(i % o.Zones), Block: i % 40, Health: "up", Share: float64(int(1) << (i % 3))})
+	}
+	return json.Marshal(doc)
+}
+
+// settingsText words settings of three classes and all tenants.
+func settingsText(o *Options) ([]byte, error) {
+	type tenant struct {
+		Name  string  `json:"name"`
+		Quota float64 `json:"quota_per_s"`
+	}
+	type class struct {
+		Name   string  `json:"name"`
+		Aim    float64 `json:"aim_ms"`
+		GiveUp float64 `json:"give_up_ms"`
+		Worth  float64 `json:"worth"`
+		Repeat string  `json:"repeat"`
+	}
+	doc := struct {
+		Balancers int      `json:"balancers"`
+		Zones     []string `json:"zones"`
+		Classes   []class  `json:"classes"`
+		Tenants   []tenant `json:"tenants,omitempty"`
+	}{Balancers: o.Gateways, Classes: []class{{"view", 800, 2000, 1, "repeatable"}, {"lodge", 800, 2500, 8, "once"}, {"bulk", 5000, 9000, 0.5, "repeatable"}}}
+	for zone := range o.Zones {
+		doc.Zones = append(doc.Zones, zoneName(zone))
+	}
+	for i := range o.Tenants {
+		doc.Tenants = append(doc.Tenants, tenant{fmt.Sprintf("tenant-%05d", i), 5})
+	}
+	return json.Marshal(doc)
+}
+
+func zoneName(zone int) string { return fmt.Sprintf("zone-%02d", zone) }
+
+// spread lists numbers of gateways that lie evenly among all.
+func spread(count, all int) (list []int) {
+	for i := range count {
+		list = append(list, i*all/count)
+	}
+	return slices.Compact(list)
+}
--- a/internal/lab/viewsim/sim.go
+++ b/internal/lab/viewsim/sim.go
@@ -8,23 +8,24 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
-	"runtime"
 	"strconv"
 	"strings"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"thymebend/internal/fleetwire"
+	"thymebend/internal/lab/cputime"
 	"thymebend/internal/members"
 )
 
-// epoch is when a run begins, in Unix time.
-const epoch = 1_700_000_000 * time.Second
+// Epoch is when a run begins, in Unix time: views live by it.
+const Epoch = 1_700_000_000 * time.Second
 
 // namePrefix begins the name of every node; its number follows.
 const namePrefix = "g-"
 
+// headerBytes are those of IP and UDP.
+const headerBytes = 28
+
 // Net is how datagrams fare.
 type Net struct {
 	Latency, Jitter time.Duration
@@ -69,7 +70,8 @@
 	now   time.Duration
 	queue queue
 	order uint64
-	sent  []uint64        // bytes by node
+	sent  []uint64        // bytes by node, with those of IP and UDP
+	taken []uint64        // bytes that arrived at a node, of the same kind
 	spent []time.Duration // of the real processor's time, by the node whose view was called
 	ctx   context.Context
 	seek  int // the node whose view was wrong last
@@ -80,7 +82,7 @@
 
 // New makes a fleet of n places. None runs yet.
 func New(seed uint64, n int) *Sim {
-	s := &Sim{rng: rand.New(rand.NewPCG(seed, 0xf1ee7)), now: epoch, sent: make([]uint64, n),
+	s := &Sim{rng: rand.New(rand.NewPCG(seed, 0xf1ee7)), now: Epoch, sent: make([]uint64, n), taken: make([]uint64, n),
 		spent: make([]time.Duration, n), ctx: context.Background(),
 		Net: Net{Latency: 500 * time.Microsecond, Jitter: 4 * time.Millisecond}}
 	for i := range n {
@@ -93,7 +95,7 @@
 }
 
 // Now is the time since the run's begin.
-func (s *Sim) Now() time.Duration { return s.now - epoch }
+func (s *Sim) Now() time.Duration { return s.now - Epoch }
 
 // Calls is how often views were called.
 func (s *Sim) Calls() uint64 { return s.calls }
@@ -101,13 +103,22 @@
 // Sent is how many bytes a node has sent.
 func (s *Sim) Sent(n int) uint64 { return s.sent[n] }
 
+// Received is how many bytes have come to a node while its process lived.
+func (s *Sim) Received(n int) uint64 { return s.taken[n] }
+
+// Runs reports whether a node's process lives and is not stopped.
+func (s *Sim) Runs(n int) bool { return s.Nodes[n].View != nil && !s.Nodes[n].stopped }
+
+// SetPayload has a node spread a payload of itself from its next start on.
+func (s *Sim) SetPayload(n int, payload []byte) { s.Nodes[n].payload = payload }
+
 // Find notes a broken rule.
 func (s *Sim) Find(format string, args ...any) {
 	s.Findings = append(s.Findings, fmt.Sprintf("%.3f s: ", s.Now().Seconds())+fmt.Sprintf(format, args...))
 }
 
 // At has something happen at a time of the run.
-func (s *Sim) At(at time.Duration, do func()) { s.at(epoch+at, do) }
+func (s *Sim) At(at time.Duration, do func()) { s.at(Epoch+at, do) }
 
 func (s *Sim) at(at time.Duration, do func()) {
 	s.order++
@@ -125,9 +136,8 @@
 
 // Run plays until a time of the run, or until the run is interrupted.
 func (s *Sim) Run(until time.Duration) {
-	runtime.LockOSThread()
-	defer runtime.UnlockOSThread()
-	for n := 0; s.queue.len() > 0 && s.queue.earliest() <= epoch+until; n++ {
+	defer cputime.Hold()()
+	for n := 0; s.queue.len() > 0 && s.queue.earliest() <= Epoch+until; n++ {
 		if n%interruptCheckEvents == 0 && s.Interrupted() {
 			return
 		}
@@ -135,7 +145,7 @@
 		s.now = e.at
 		e.do()
 	}
-	s.now = epoch + until
+	s.now = Epoch + until
 }
 
 // Start starts a node's process, which knows the book alone.
@@ -209,19 +219,9 @@
 // spend counts what a call of a view takes of this machine's processor, without the time in which other programs had it.
 // Nothing of the run depends on it.
 func (s *Sim) spend(n int, call func()) {
-	began := threadTime()
+	began := cputime.Thread()
 	call()
-	s.spent[n] += threadTime() - began
-}
-
-// threadTime is how much processor time the calling thread has taken. The goroutine that runs the simulation stays on its
-// thread while it does, see Run.
-func threadTime() time.Duration {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &t); err != nil {
-		return 0 // Linux has this clock always; without it no processor time is told
-	}
-	return time.Duration(t.Nano())
+	s.spent[n] += cputime.Thread() - began
 }
 
 // Spent is how much of this machine's processor a node's view has taken.
@@ -289,7 +289,7 @@
 		if len(d.Data) > fleetwire.Most {
 			s.Find("%s sends %d bytes", from.Name, len(d.Data))
 		}
-		s.sent[n] += uint64(len(d.Data)) + 28 // IP and UDP
+		s.sent[n] += uint64(len(d.Data)) + headerBytes
 		raw := d.To.Addr().As4()
 		to := int(raw[2])<<8 | int(raw[3])
 		copies := 1
@@ -314,6 +314,9 @@
 
 func (s *Sim) arrive(n int, d delivery) {
 	node := s.Nodes[n]
+	if node.View != nil {
+		s.taken[n] += uint64(len(d.data)) + headerBytes
+	}
 	switch {
 	case node.View == nil:
 	case node.stopped:
