--- a/internal/lab/scale/fit.go
+++ b/internal/lab/scale/fit.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"math"
+	"slices"
 	"strings"
 
 	"thymebend/internal/lab/report"
@@ -123,10 +124,26 @@
 	}
 }
 
+// controlFigures are those of runs with control machines.
+func controlFigures() []figure {
+	return []figure{
+		{"configuration, bytes received a second, mean", func(r *Result) float64 { return r.Gateway.Configuration.Received.Mean }},
+		{"control machine, bytes sent a second, mean", func(r *Result) float64 { return r.Configuration.ControlSent.Mean }},
+		{"control machine, bytes received a second, mean", func(r *Result) float64 { return r.Configuration.ControlTaken.Mean }},
+		{"control machine, share of a core, worst", func(r *Result) float64 { return r.Configuration.ControlUsed.Worst }},
+		{"a change in force at all, s, median", func(r *Result) float64 { return r.Configuration.Median.All }},
+		{"a change in force at all, s, worst", func(r *Result) float64 { return r.Configuration.Worst.All }},
+	}
+}
+
 // Fit fits the figures of the sizes that are not left out, and predicts those of the one that is.
 func (s *Sweep) Fit() {
 	s.Lines, s.Predictions = []Line{}, []Prediction{}
-	for _, f := range figures() {
+	list := figures()
+	if len(s.Results) > 0 && !slices.ContainsFunc(s.Results, func(r *Result) bool { return r.Configuration == nil }) {
+		list = append(list, controlFigures()...)
+	}
+	for _, f := range list {
 		var sizes, values []float64
 		var out *Result
 		for _, r := range s.Results {
--- a/internal/lab/scale/full.go
+++ b/internal/lab/scale/full.go
@@ -89,6 +89,8 @@
 	if err != nil {
 		return nil, cost, err
 	}
+	runtime.KeepAlive(rawSettings) // freed in between, their bytes would be taken off what the rest leaves in use
+	runtime.KeepAlive(rawList)
 	for _, h := range g.group.All() {
 		g.hosts = append(g.hosts, shares.Host{ID: uint64(h.ID), Capacity: h.Share, Zone: h.Zone})
 	}
@@ -139,7 +141,8 @@
 	began := cputime.Thread()
 	do()
 	took = cputime.Thread() - began
-	return took, heapInUse() - min(before, heapInUse())
+	after := heapInUse()
+	return took, after - min(before, after)
 }
 
 // heapInUse is what the heap holds that is still reached.
