--- a/internal/lab/scale/changes.go
+++ b/internal/lab/scale/changes.go
@@ -17,9 +17,9 @@
 
 // change is one of configuration, followed until all that lived since it was submitted have it.
 type change struct {
-	submitted       time.Duration
-	number          uint64 // 0 until it is committed
-	half, most, all time.Duration
+	milestones
+	submitted time.Duration
+	number    uint64 // 0 until it is committed
 }
 
 // startControl starts the control machines and has them take the whole configuration.
@@ -95,16 +95,7 @@
 			have++
 		}
 	}
-	took := r.sim.Now() - c.submitted
-	if c.half == 0 && 2*have >= lived {
-		c.half = took
-	}
-	if c.most == 0 && 100*have >= 99*lived {
-		c.most = took
-	}
-	if have == lived {
-		c.all = took
-	}
+	c.note(have, lived, r.sim.Now()-c.submitted)
 }
 
 // sumConfiguration fills in how the changes of the run have spread.
@@ -114,20 +105,15 @@
 		return
 	}
 	out.First = seconds(r.first)
-	var half, most, all []time.Duration
+	var list []milestones
 	for _, c := range r.changes {
-		out.Submitted++
-		if c.all == 0 {
-			out.Unfinished++
-			continue
-		}
-		half, most, all = append(half, c.half), append(most, c.most), append(all, c.all)
+		list = append(list, c.milestones)
 		if c.all > changeAim {
 			out.Late++
 		}
 	}
-	out.Median = Times{median(half), median(most), median(all)}
-	out.Worst = Times{worst(half), worst(most), worst(all)}
+	out.Submitted = len(list)
+	out.Median, out.Worst, out.Unfinished = summary(list)
 	for _, c := range r.rollouts.Controls {
 		if c.Controller != nil {
 			out.MostLinks = max(out.MostLinks, c.Controller.Subscribers())
--- a/internal/lab/scale/full.go
+++ b/internal/lab/scale/full.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/netip"
 	"runtime"
 	"slices"
 	"time"
@@ -12,6 +13,7 @@
 	"thymebend/internal/fleetwire"
 	"thymebend/internal/hostgroup"
 	"thymebend/internal/lab/cputime"
+	"thymebend/internal/lab/roster"
 	"thymebend/internal/lab/viewsim"
 	"thymebend/internal/settings"
 	"thymebend/internal/shares"
@@ -64,10 +66,7 @@
 	if err != nil {
 		return nil, cost, err
 	}
-	rawList, err := listText(o)
-	if err != nil {
-		return nil, cost, err
-	}
+	rawList := listText(o)
 	cost.SettingsTime, cost.SettingsHeap = weighed(func() {
 		if g.settings, err = settings.ParseJSON(rawSettings); err != nil {
 			return
@@ -100,6 +99,9 @@
 	return g, cost, nil
 }
 
+// cells are those of hosts that share what keys they have seen.
+const cells = 40
+
 // newsWithin is how long a change of the view takes to reach the last gateway, as the gateway has it.
 const newsWithin = time.Second
 
@@ -154,26 +156,17 @@
 }
 
 // listText words a whole list as discovery does.
-func listText(o *Options) ([]byte, error) {
-	type host struct {
-		Host   string  `json:"host"`
-		Dial   string  `json:"dial"`
-		Site   string  `json:"site"`
-		Block  int     `json:"block"`
-		Health string  `json:"health"`
-		Born   float64 `json:"born_ms"`
-		Share  float64 `json:"share"`
-	}
-	doc := struct {
-		Seq   int    `json:"seq"`
-		Whole bool   `json:"whole"`
-		Hosts []host `json:"hosts"`
-	}{1, true, nil}
+func listText(o *Options) []byte {
+	const via = "gateway"
+	list := roster.New()
+	var entries []roster.Entry
 	for i := range o.Hosts {
-		doc.Hosts = append(doc.Hosts, host{Host: fmt.Sprintf("host-%05d.service-%03d", i, i%o.Services), Dial: fmt.Sprintf("10.%d.%d.%d:8080", 64+i>>16, i>>8&255, i&255),
-			Site: zoneName(i % o.Zones), Block: i % 40, Health: "up", Share: float64(int(1) << (i % 3))})
+		dial := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 8080)
+		entries = append(entries, roster.Entry{Host: fmt.Sprintf("host-%05d.service-%03d", i, i%o.Services), Site: zoneName(i % o.Zones),
+			Cell: i % cells, State: roster.Up, Dial: map[string]string{via: dial.String()}})
 	}
-	return json.Marshal(doc)
+	list.Put(entries...)
+	return list.Line(via, 0)
 }
 
 // settingsText words settings of three classes and all tenants.
--- a/internal/lab/scale/knowledge.go
+++ b/internal/lab/scale/knowledge.go
@@ -24,13 +24,43 @@
 	Worst      Times `json:"worst"`
 }
 
+// milestones are when something had come to half, to 99 in 100 and to all of those that it can come to; 0 until then.
+type milestones struct{ half, most, all time.Duration }
+
+// note takes how many of those that can have it have it after some time, and reports whether all do.
+func (m *milestones) note(have, can int, took time.Duration) bool {
+	if m.half == 0 && 2*have >= can {
+		m.half = took
+	}
+	if m.most == 0 && 100*have >= 99*can {
+		m.most = took
+	}
+	if m.all == 0 && have == can {
+		m.all = took
+	}
+	return m.all > 0
+}
+
+// summary is the median and the worst of those that have come to all, and how many have not.
+func summary(list []milestones) (median, worst Times, unfinished int) {
+	var half, most, all []time.Duration
+	for _, m := range list {
+		if m.all == 0 {
+			unfinished++
+			continue
+		}
+		half, most, all = append(half, m.half), append(most, m.most), append(all, m.all)
+	}
+	return Times{middle(half), middle(most), middle(all)}, Times{largest(half), largest(most), largest(all)}, unfinished
+}
+
 // watch follows one crash or join until all know of it.
 type watch struct {
-	subject         int
-	life            int           // of the subject, since the event
-	joined          bool          // else it crashed
-	began           time.Duration // of the event
-	half, most, all time.Duration // 0 until then
+	milestones
+	subject int
+	life    int           // of the subject, since the event
+	joined  bool          // else it crashed
+	began   time.Duration // of the event
 }
 
 // knows reports whether a gateway knows of the event.
@@ -86,46 +116,30 @@
 			know++
 		}
 	}
-	took := k.sim.Now() - w.began
-	if w.half == 0 && 2*know >= can {
-		w.half = took
-	}
-	if w.most == 0 && 100*know >= 99*can {
-		w.most = took
-	}
-	if know == can {
-		w.all = took
-	}
-	return w.all > 0
+	return w.note(know, can, k.sim.Now()-w.began)
 }
 
 // spread sums up the events of one kind.
 func (k *knowledge) spread(joined bool) (s Spread) {
-	var half, most, all []time.Duration
+	var list []milestones
 	for _, w := range slices.Concat(k.closed, k.open) {
-		if w.joined != joined {
-			continue
-		}
-		s.Count++
-		if w.all == 0 {
-			s.Unfinished++
-			continue
+		if w.joined == joined {
+			list = append(list, w.milestones)
 		}
-		half, most, all = append(half, w.half), append(most, w.most), append(all, w.all)
 	}
-	s.Median = Times{median(half), median(most), median(all)}
-	s.Worst = Times{worst(half), worst(most), worst(all)}
+	s.Count = len(list)
+	s.Median, s.Worst, s.Unfinished = summary(list)
 	return s
 }
 
-func median(list []time.Duration) float64 {
+func middle(list []time.Duration) float64 {
 	if len(list) == 0 {
 		return 0
 	}
 	return slices.Sorted(slices.Values(list))[len(list)/2].Seconds()
 }
 
-func worst(list []time.Duration) float64 {
+func largest(list []time.Duration) float64 {
 	if len(list) == 0 {
 		return 0
 	}
