--- a/internal/lab/cli/shares.go
+++ b/internal/lab/cli/shares.go
@@ -8,6 +8,7 @@
 
 	"thymebend/internal/lab/sharesim"
 	"thymebend/internal/lab/virtual"
+	"thymebend/internal/shares"
 )
 
 type sharesCmd struct {
@@ -25,8 +26,9 @@
 
 // Run implements kong's.
 func (c sharesCmd) Run(e *env) error {
-	if (c.Gateways == 0) != (c.Hosts == 0) || c.Gateways < 0 || c.Hosts < 0 || c.Gateways == 1 || c.Hosts == 1 || c.Gateways > 2000 || c.Hosts > 2000 {
-		return input(fmt.Errorf("--gateways and --hosts go together, 2 to 2000 each"))
+	given := c.Gateways != 0 || c.Hosts != 0
+	if given && (c.Gateways < 2 || c.Hosts < 2 || c.Gateways > shares.MostGateways || c.Hosts > shares.MostHosts) {
+		return input(fmt.Errorf("--gateways and --hosts go together, 2 to %d and 2 to %d", shares.MostGateways, shares.MostHosts))
 	}
 	if c.Gateway {
 		return c.whole(e)
