--- a/internal/lab/scale/fit.go
+++ b/internal/lab/scale/fit.go
@@ -210,6 +210,9 @@
 	fmt.Fprintf(&b, "  processor %.4f%% / %.4f%% of a core, heap %.2f MB in the mean\n", 100*g.Processor.Mean, 100*g.Processor.Worst, float64(g.HeapMean)/1e6)
 	fmt.Fprintf(&b, "  crash known: %s\n  join known:  %s\n", r.Crash, r.Join)
 	fmt.Fprintf(&b, "  false doubts %d, false removals seen by %d observers %d; all views true %.2f s after the run\n", r.Doubts, r.Observers, r.Removals, r.Recovered)
+	if len(r.Healed) > 0 {
+		fmt.Fprintf(&b, "  parted regions: all views true %v s after they met again\n", r.Healed)
+	}
 	if c := r.Configuration; c != nil {
 		fmt.Fprintf(&b, "  configuration: first in force everywhere after %.2f s; %d changes, %d unfinished, %d later than 8 s; median %s, worst %s\n", c.First,
 			c.Submitted, c.Unfinished, c.Late, c.Median, c.Worst)
--- a/internal/lab/scale/fleet.go
+++ b/internal/lab/scale/fleet.go
@@ -31,8 +31,9 @@
 	rollouts *rolloutsim.Fleet // nil without control machines
 	network  *rolloutsim.Net   // of the rollouts
 
-	parted    bool // regions do not hear each other
-	measuring bool // events are followed
+	parted    bool          // regions do not hear each other
+	mendedAt  time.Duration // since then they hear each other again, and not all views are true yet; else 0
+	measuring bool          // events are followed
 }
 
 func newFleet(ctx context.Context, o Options) (*fleet, error) {
@@ -211,7 +212,7 @@
 		f.scheduleControlEnd(at, over, zone)
 	case RegionsPart:
 		f.sim.At(at, func() { f.parted = true })
-		f.sim.At(over, func() { f.parted = false })
+		f.sim.At(over, func() { f.parted, f.mendedAt = false, f.sim.Now() })
 	case LossRises:
 		f.sim.At(at, func() { f.setLoss(fault.Share) })
 		f.sim.At(over, func() { f.setLoss(f.options.Loss) })
--- a/internal/lab/scale/result.go
+++ b/internal/lab/scale/result.go
@@ -91,8 +91,10 @@
 	Doubts   int     `json:"false_doubts"` // refutations by gateways that ran
 	Removals int     `json:"false_removals"`
 	// Observers are the gateways at which false removals were looked for, each second.
-	Observers     int            `json:"observers"`
-	Recovered     float64        `json:"recovered_s"` // from the end of the measured time until each view is the truth; below 0: not within 60 s
+	Observers int     `json:"observers"`
+	Recovered float64 `json:"recovered_s"` // from the end of the measured time until each view is the truth; below 0: not within 60 s
+	// Healed is, for each time that regions were parted, from its end until each view is the truth, if that came.
+	Healed        []float64      `json:"healed_s"`
 	Configuration *Configuration `json:"configuration,omitempty"`
 	Full          *Full          `json:"full,omitempty"`
 	Seconds       []Second       `json:"seconds"`
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &run{fleet: f, told: told, result: &Result{Version: ResultVersion, Options: o, Seconds: []Second{}}}
+	r := &run{fleet: f, told: told, result: &Result{Version: ResultVersion, Options: o, Seconds: []Second{}, Healed: []float64{}}}
 	r.play()
 	r.result.Partial = f.sim.Interrupted()
 	r.result.Took = time.Since(began).Seconds()
@@ -129,6 +129,7 @@
 		r.sim.Run(min(until, r.sim.Now()+lookEvery))
 		r.knowledge.look()
 		r.lookAtChanges()
+		r.lookForHealing()
 		if r.sim.Now() >= r.nextSec {
 			r.nextSec += secondEvery
 			r.second(begin)
@@ -137,6 +138,15 @@
 	}
 }
 
+// lookForHealing notes when all views are true after regions were parted. Restarts and failures meanwhile put it off.
+func (r *run) lookForHealing() {
+	if r.mendedAt == 0 || r.parted || r.sim.Wrong() != "" {
+		return
+	}
+	r.result.Healed = append(r.result.Healed, seconds(r.sim.Now()-r.mendedAt))
+	r.mendedAt = 0
+}
+
 // second notes a second of the run, and has the full gateways follow the view.
 func (r *run) second(begin time.Duration) {
 	for _, g := range r.full {
--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -90,6 +90,9 @@
 	if r.Crash.Count < 9 || r.Join.Count < 9 || r.Recovered < 0 {
 		t.Errorf("crashes %d, joins %d, recovered after %v s", r.Crash.Count, r.Join.Count, r.Recovered)
 	}
+	if len(r.Healed) != 1 || r.Healed[0] > 10 {
+		t.Errorf("regions that were parted found each other after %v s", r.Healed)
+	}
 	if least := r.Seconds[5].Alive; least > 55 {
 		t.Errorf("%d of 64 gateways run while a zone is down", least)
 	}
