--- a/internal/lab/scale/changes.go
+++ b/internal/lab/scale/changes.go
@@ -45,15 +45,27 @@
 	r.sim.Run(r.sim.Now() + electionWithin)
 }
 
-// awaitFirst waits until all have the first whole configuration in force.
-func (r *run) awaitFirst() {
-	r.told(Progress{Phase: "fetching the configuration", Of: firstWithin})
-	begin := r.knowledge.born[0]
-	for end := r.sim.Now() + firstWithin; r.sim.Now() < end && !r.sim.Interrupted(); {
-		if have, up := r.rollouts.InForce(r.rollouts.Newest()); have == up {
+// watchFirst notes when all gateways have the first whole configuration in force, counted from now on.
+func (r *run) watchFirst() {
+	begin := r.sim.Now()
+	var look func()
+	look = func() {
+		have, up := r.rollouts.InForce(r.rollouts.Newest())
+		if have == up && up == r.options.Gateways {
 			r.first = r.sim.Now() - begin
 			return
 		}
+		if r.sim.Now()-begin < firstWithin {
+			r.sim.At(r.sim.Now()+lookEvery, look)
+		}
+	}
+	r.sim.At(begin+lookEvery, look)
+}
+
+// awaitFirst waits until all have it, if that is still to come.
+func (r *run) awaitFirst() {
+	r.told(Progress{Phase: "fetching the configuration", Of: firstWithin})
+	for end := r.sim.Now() + firstWithin; r.first == 0 && r.sim.Now() < end && !r.sim.Interrupted(); {
 		r.sim.Run(r.sim.Now() + lookEvery)
 	}
 }
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -64,6 +64,7 @@
 func (r *run) play() {
 	if r.rollouts != nil {
 		r.startControl()
+		r.watchFirst()
 	}
 	r.startAll()
 	if r.sim.Interrupted() {
