--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -35,6 +35,7 @@
 	exitBroken = 1 // a standing rule was broken
 	exitInput  = 2 // the input cannot be used
 	exitBehind = 3 // the generator fell behind
+	exitEarly  = 4 // told to end by SIGINT or SIGTERM: what was written is partial
 )
 
 // env is what a command works with.
@@ -52,6 +53,9 @@
 
 func (c coded) Error() string { return c.text }
 
+// early is the end of a command that was told to end before it was through, once it has written what it had.
+func early() error { return coded{exitEarly, "told to end: partial"} }
+
 func input(err error) error {
 	if err == nil {
 		return nil
@@ -67,6 +71,7 @@
 	Seeds    seedsCmd    `cmd:"" help:"Play seeded fault runs of the whole gateway on a virtual clock."`
 	Drill    drillCmd    `cmd:"" help:"Start several gateways with relays between them, break paths and processes, and hold the rules."`
 	Shares   sharesCmd   `cmd:"" help:"Compare ways to divide hosts among gateways."`
+	Scale    scaleCmd    `cmd:"" help:"Play the control of a whole fleet at its full size on the virtual clock."`
 	View     viewCmd     `cmd:"" help:"Measure the fleet's view of itself on the virtual clock."`
 	Rollouts rolloutsCmd `cmd:"" help:"Play or measure the spread of configuration changes on the virtual clock."`
 	Replay   replayCmd   `cmd:"" help:"Play one seed again to the letter, trace it, and reduce it to a small plan."`
@@ -81,7 +86,7 @@
 	e := &env{ctx: ctx, out: out, err: errOut, log: zerolog.New(zerolog.ConsoleWriter{Out: errOut, TimeFormat: time.TimeOnly,
 		NoColor: !terminal(errOut)}).With().Timestamp().Logger()}
 	exited := -1
-	parser, err := kong.New(&grammar{}, kong.Name("thymelab"), kong.Bind(e), kong.Writers(out, errOut),
+	parser, err := kong.New(&grammar{}, kong.Name("thymelab"), kong.Bind(e), kong.Vars(scaleVars()), kong.Writers(out, errOut),
 		kong.Exit(func(code int) { exited = code }), kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
 		kong.Description("The laboratory of thymebend: emulated hosts and discovery, an open-loop load tool, experiments and reports.\n\n"+
 			"A first try: thymelab run experiments/calm.toml --out /tmp/calm"))
@@ -125,7 +130,7 @@
 // Help implements kong's.
 func (runCmd) Help() string {
 	return "Example:\n  thymelab run experiments/closing-rush.toml --out /tmp/rush --seed 7\n\n" +
-		"Exit codes: 0 all rules held, 1 a rule was broken, 2 unusable input, 3 the generator fell behind."
+		"Exit codes: 0 all rules held, 1 a rule was broken, 2 unusable input, 3 the generator fell behind, 4 told to end: partial."
 }
 
 // Run implements kong's.
@@ -150,6 +155,8 @@
 	fmt.Fprint(e.out, report.Text(res))
 	fmt.Fprintf(e.out, "report: %s\n", page)
 	switch {
+	case res.Load.PartialInput:
+		return early()
 	case res.Load.FellBehind:
 		return coded{exitBehind, "the generator fell behind: " + res.Load.Behind}
 	case !res.Held:
@@ -224,7 +231,7 @@
 func (loadCmd) Help() string {
 	return "Example:\n  thymelab load --target 127.0.0.1:8443 --rate 300 --for 20s --class tender-view=0.7 --class bid-lodge=0.3 --json out.json\n\n" +
 		"Requests leave on schedule whatever the answers; latency counts from the time at which a request was due.\n" +
-		"A target that is down is data. Exit codes: 0 measured, 2 unusable input, 3 the generator fell behind."
+		"A target that is down is data. Exit codes: 0 measured, 2 unusable input, 3 the generator fell behind, 4 told to end: partial."
 }
 
 // Run implements kong's.
@@ -355,7 +362,10 @@
 			fmt.Fprintf(e.out, "%d ids were answered more than once\n", twice)
 		}
 	}
-	if res.FellBehind {
+	switch {
+	case res.PartialInput:
+		return early()
+	case res.FellBehind:
 		return coded{exitBehind, "the generator fell behind, no latencies are shown: " + res.Behind}
 	}
 	return nil
--- a/internal/lab/cli/shares.go
+++ b/internal/lab/cli/shares.go
@@ -1,11 +1,14 @@
 package cli
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"time"
 
 	"thymebend/internal/lab/sharesim"
 	"thymebend/internal/lab/virtual"
+	"thymebend/internal/shares"
 )
 
 type sharesCmd struct {
@@ -23,8 +26,9 @@
 
 // Run implements kong's.
 func (c sharesCmd) Run(e *env) error {
-	if (c.Gateways == 0) != (c.Hosts == 0) || c.Gateways < 0 || c.Hosts < 0 || c.Gateways == 1 || c.Hosts == 1 || c.Gateways > 2000 || c.Hosts > 2000 {
-		return input(fmt.Errorf("--gateways and --hosts go together, 2 to 2000 each"))
+	given := c.Gateways != 0 || c.Hosts != 0
+	if given && (c.Gateways < 2 || c.Hosts < 2 || c.Gateways > shares.MostGateways || c.Hosts > shares.MostHosts) {
+		return input(fmt.Errorf("--gateways and --hosts go together, 2 to %d and 2 to %d", shares.MostGateways, shares.MostHosts))
 	}
 	if c.Gateway {
 		return c.whole(e)
@@ -37,6 +41,9 @@
 	for _, size := range sizes {
 		for _, zipf := range []bool{false, true} {
 			for _, way := range sharesim.Ways() {
+				if e.ctx.Err() != nil {
+					return early()
+				}
 				if way == sharesim.MeanOnly && !zipf {
 					continue
 				}
@@ -63,7 +70,10 @@
 	}
 	fmt.Fprintln(e.out, "| gateways | hosts | hearsay | bad host known to 95% of its users, median | asked of bad hosts | bytes a second and gateway | cold hosts got of what they may | refused | rules broken |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 	for _, hearsay := range []bool{false, true} {
-		f, err := virtual.MeasurePortions(c.Seed, c.Gateways, c.Hosts, hearsay)
+		f, err := virtual.MeasurePortions(e.ctx, c.Seed, c.Gateways, c.Hosts, hearsay)
+		if errors.Is(err, context.Canceled) {
+			return early()
+		}
 		if err != nil {
 			return input(err)
 		}
