Pass over an answer that is older than what another call has told since

Cause: applyLine took a whole list from a call to discovery's new address as it came. Change: an answer of a version between that of its call and the one in force brings departures alone; later lines on it count. Result: TestAnOutdatedAnswerTakesNoDrainBack fails without the change ('s-1 is up') and holds with it.

--- a/internal/gateway/fromlist.go
+++ b/internal/gateway/fromlist.go
@@ -136,7 +136,11 @@
 // applyLine takes one line of a watch. Of a faulty object it takes who leaves.
 func (g *Gateway) applyLine(w *hostgroup.Watch, line []byte, first bool) error {
 	var news hostgroup.News
-	if len(line) > 0 && g.olderSince == 0 {
+	switch {
+	case len(line) == 0 || g.olderSince != 0:
+	case w != g.watch && g.group.Outdated(w, line):
+		news = g.group.Leave(line) // what the standing watch has told since must not be taken back
+	default:
 		var err error
 		if news, err = g.group.Apply(line); err != nil {
 			g.takeDepartures(news)
--- a/internal/gateway/told_test.go
+++ b/internal/gateway/told_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"runtime"
 	"strings"
 	"testing"
@@ -136,6 +137,33 @@
 	}
 }
 
+// While a call to a new address of discovery waits, the old watch tells a drain. The answer to the call is older, and takes
+// nothing back; what it tells afterwards counts.
+func TestAnOutdatedAnswerTakesNoDrainBack(t *testing.T) {
+	r := newRig(t, "subscribe", object(1, true, entry(1, "up", 0), entry(2, "up", 0)))
+	standing := r.watch()
+	r.line(standing, object(2, true, entry(1, "up", 0), entry(2, "up", 0)))
+	r.g.cfg.Discovery = netip.MustParseAddrPort(hostAddr(99))
+	r.step(loop.Event{Kind: loop.TimerDue, Timer: loop.Timer{Kind: timerMove}})
+	moving := r.to(hostAddr(99))
+	r.step(loop.Event{Kind: loop.Connected, Conn: moving})
+	r.line(standing, object(4, false, entry(1, "draining", 0)))
+	r.step(loop.Event{Kind: loop.Data, Conn: moving, Data: []byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")})
+	r.line(moving, object(3, true, entry(1, "up", 0), entry(2, "up", 0)))
+	if r.closed[moving] || !r.closed[standing] {
+		t.Error("the call that was answered is not the watch in force")
+	}
+	if r.g.takesNew(r.g.group.All()[0].ID) == r.g.takesNew(r.g.group.All()[1].ID) {
+		t.Error("the drain is taken back")
+	}
+	r.line(moving, object(5, false, entry(2, "draining", 0)))
+	for _, h := range r.g.group.All() {
+		if r.g.takesNew(h.ID) {
+			t.Errorf("%s is up", h.Name)
+		}
+	}
+}
+
 // What an agent has counts as told, also where its numbers are lower than this gateway's: a host leaves by such a line, unless it
 // has started anew since, and none comes up by it.
 func TestAnOlderAgentsDrainsAreHeeded(t *testing.T) {
--- a/internal/hostgroup/list.go
+++ b/internal/hostgroup/list.go
@@ -67,13 +67,26 @@
 
 // Older reports whether an object in discovery's form is of an earlier version than the list in force.
 func (g *Group) Older(raw []byte) (bool, error) {
+	seq, err := version(raw)
+	return seq != nil && *seq < g.seq, err
+}
+
+// Outdated reports whether an object that answers a call is of an earlier version than the list in force, though not than
+// that of the call: another call has brought newer ones since.
+func (g *Group) Outdated(w *Watch, raw []byte) bool {
+	seq, err := version(raw)
+	return err == nil && seq != nil && *seq >= w.asked && *seq < g.seq
+}
+
+// version is that of an object in discovery's form, nil where it has none.
+func version(raw []byte) (*uint64, error) {
 	var doc struct {
 		Seq *uint64 `json:"seq"`
 	}
 	if err := json.Unmarshal(raw, &doc); err != nil {
-		return false, fmt.Errorf("host list: %w", err)
+		return nil, fmt.Errorf("host list: %w", err)
 	}
-	return doc.Seq != nil && *doc.Seq < g.seq, nil
+	return doc.Seq, nil
 }
 
 // Renumber forgets the version of the list in force: the next call asks for the whole list.
--- a/internal/hostgroup/watch.go
+++ b/internal/hostgroup/watch.go
@@ -49,9 +49,10 @@
 	depth   int  // of the object that they belong to; 0 between two
 	quoted  bool // they are in one of its texts
 	escaped bool
-	blank   bool // nothing has come on the line under way
-	up      bool // its connection has come up
-	started bool // its first line has come
+	blank   bool   // nothing has come on the line under way
+	up      bool   // its connection has come up
+	asked   uint64 // the version since which it has asked for changes
+	started bool   // its first line has come
 }
 
 // NewWatch prepares a watch of discovery at an address, on a connection.
@@ -61,7 +62,7 @@
 
 // Request is the call for what changed since the list that the group has, once the watch's connection is up.
 func (g *Group) Request(w *Watch) []byte {
-	w.up = true
+	w.up, w.asked = true, g.seq
 	return http1.AppendRequest(nil, "GET", "/v1/servers?stream=1&index="+strconv.FormatUint(g.seq, 10),
 		[]http1.Field{{Name: "Host", Value: w.Addr.String()}}, nil)
 }
