Replace no call that waits, and let Retry-After end with the address that gave it

Cause, found by reading the change again: the module asks anew 5 s after it asked (checkWatch), and Gateway.Watch (actions.go) then dropped the call under way; one that began late, as Retry-After asked, lost its place in discovery's queue. A kept call that failed while a younger one waited did not end the wait of new attempts (watchEnds, fromlist.go). The time to come back that an old address gave held for the new one after a reload. Change: a call under way answers the module's; any failure since the watch's end ends the wait; a reload with a new address forgets the time.

--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -97,7 +97,7 @@
 
 // Watch implements thymebend.Actions.
 func (g *Gateway) Watch() {
-	if g.moving != nil {
+	if g.moving != nil || g.watch != nil && !g.watch.Started() {
 		return // the call under way answers this one
 	}
 	if g.watch != nil {
--- a/internal/gateway/fromlist.go
+++ b/internal/gateway/fromlist.go
@@ -63,6 +63,7 @@
 	}
 	g.cfg.Discovery = fresh.Discovery
 	g.movePacer.Succeeded()
+	g.callNotBefore = 0 // another address asked for that
 	if g.queued != nil {
 		g.dropWatch(g.queued, EndListReplace, nil)
 	}
@@ -253,15 +254,15 @@
 	if !w.Up() {
 		failure = pacing.Unreachable
 	}
+	if !w.Started() {
+		g.heard()
+	}
 	if w == g.queued {
 		g.dropWatch(w, end, err)
 		return // the module was told when the call was not answered in time
 	}
 	moving := w == g.moving
 	g.dropWatch(w, end, err)
-	if !w.Started() {
-		g.heard()
-	}
 	switch {
 	case g.watch == nil && g.moving != nil:
 		g.watch, g.moving = g.moving, nil // the old address has closed before the new one answered
--- a/internal/gateway/told_test.go
+++ b/internal/gateway/told_test.go
@@ -164,6 +164,26 @@
 	}
 }
 
+// The time to come back that discovery's old address gave does not hold for the new one.
+func TestRetryAfterEndsWithTheAddress(t *testing.T) {
+	known := object(1, true, entry(1, "up", 0))
+	r := newRig(t, "subscribe", known)
+	first := r.to(discoveryAddr)
+	r.step(loop.Event{Kind: loop.Connected, Conn: first})
+	r.step(loop.Event{Kind: loop.Data, Conn: first, Data: []byte("HTTP/1.1 503 No\r\nRetry-After: 50\r\nContent-Length: 0\r\n\r\n")})
+	r.step(loop.Event{Kind: loop.Reload})
+	r.step(loop.Event{Kind: loop.File, Data: rigConfig(t, "subscribe", known, hostAddr(99))})
+	moved := r.to(hostAddr(99))
+	if moved == 0 {
+		t.Fatal("the new address is not called")
+	}
+	r.step(loop.Event{Kind: loop.Broken, Conn: moved})
+	r.pass(4 * time.Second)
+	if r.to(hostAddr(99)) <= moved {
+		t.Error("the new address is not called again within 4 s")
+	}
+}
+
 // What an agent has counts as told, also where its numbers are lower than this gateway's: a host leaves by such a line, unless it
 // has started anew since, and none comes up by it.
 func TestAnOlderAgentsDrainsAreHeeded(t *testing.T) {
