Log each change of a request's and a connection's state, and count the reasons of ends

Ruled out as a source: the records, which hold whole requests alone.

Measured: TestReasonsAreLoggedAndCounted and TestRefusalsAreCountedByReason pass; the packages gateway and clients pass. No behaviour is changed; no fix yet.

--- a/internal/clients/link.go
+++ b/internal/clients/link.go
@@ -46,28 +46,29 @@
 
 // Link is one client link.
 type Link struct {
-	Conn    loop.Conn
-	Query   thymebend.RequestID // the query in work, with Busy
-	Busy    bool                // a query is in work or its answer not yet written out
-	Closing bool                // ends after the answer now written
-	Ended   bool                // our sending has ended; what still comes is dropped
-	Muted   bool
-	Asked   bool          // a whole request has come on it
-	Queries int           // how many queries came on it
-	Since   time.Duration // of its accept or its last answer
-	Timed   bool          // the rest of a request is awaited for a limited time
-	LastAsk bool          // is looked at once more before it ends
-	Upload  bool          // a body is being taken in pieces and has not ended
-	Drop    bool          // what still comes is of a body that nobody wants
-	Began   time.Duration // of the request that is coming
-	Came    int           // bytes of it
-	heard   time.Duration // last byte
-	within  time.Duration // that a request has to come whole
-	queue   *queue        // that it stands in
-	before  *Link
-	after   *Link
-	reader  http1.Reader
-	large   *Asked // the request under way, whose body is too large to be held
+	Conn     loop.Conn
+	Query    thymebend.RequestID // the query in work, with Busy
+	Busy     bool                // a query is in work or its answer not yet written out
+	Closing  bool                // ends after the answer now written
+	Ended    bool                // our sending has ended; what still comes is dropped
+	Muted    bool
+	Asked    bool          // a whole request has come on it
+	Queries  int           // how many queries came on it
+	Since    time.Duration // of its accept or its last answer
+	Accepted time.Duration
+	Timed    bool          // the rest of a request is awaited for a limited time
+	LastAsk  bool          // is looked at once more before it ends
+	Upload   bool          // a body is being taken in pieces and has not ended
+	Drop     bool          // what still comes is of a body that nobody wants
+	Began    time.Duration // of the request that is coming
+	Came     int           // bytes of it
+	heard    time.Duration // last byte
+	within   time.Duration // that a request has to come whole
+	queue    *queue        // that it stands in
+	before   *Link
+	after    *Link
+	reader   http1.Reader
+	large    *Asked // the request under way, whose body is too large to be held
 }
 
 // Feed takes what the client wrote.
@@ -152,6 +153,9 @@
 	return l.Began + l.within + time.Duration(l.Came)*time.Second/LeastRate
 }
 
+// Silent is how long nothing has come.
+func (l *Link) Silent(now time.Duration) time.Duration { return now - l.heard }
+
 // Pending reports whether a part of a request has come.
 func (l *Link) Pending() bool { return l.reader.Pending() }
 
--- a/internal/clients/links.go
+++ b/internal/clients/links.go
@@ -39,7 +39,7 @@
 
 // Add takes a new client link.
 func (s *Links) Add(c loop.Conn, now time.Duration) *Link {
-	l := &Link{Conn: c, Since: now, Began: now, heard: now, within: s.Within}
+	l := &Link{Conn: c, Accepted: now, Since: now, Began: now, heard: now, within: s.Within}
 	s.ByConn[c] = l
 	s.Place(l)
 	return l
--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -30,13 +30,18 @@
 		g.endExecution(x, EndOver, nil)
 		return
 	}
+	g.traceAttempt(x)
 	g.setTimer(timerExecution, x.id, x.until)
 	g.begin(x)
 }
 
 // Refuse implements thymebend.Actions. A refusal goes out at once.
 func (g *Gateway) Refuse(id thymebend.RequestID, after time.Duration) {
-	if q, l := g.finish(id, throttled); l != nil {
+	q, l := g.finish(id, throttled)
+	if q != nil {
+		g.traceRefused(q.ID, refusedByModule, after)
+	}
+	if l != nil {
 		g.answer(q, l, clients.Refused(after, g.keep(l)))
 	}
 }
@@ -57,6 +62,7 @@
 	q.over = true
 	delete(g.open, q.ID)
 	g.settle(q.Class.Name, r)
+	g.traceAnswered(q, r)
 	g.forget(q)
 	return q, g.links.ByConn[q.client]
 }
--- a/internal/gateway/end.go
+++ b/internal/gateway/end.go
@@ -30,6 +30,7 @@
 	EndListSilent             // the watch missed its beat
 	EndListGarbled            // the watch brought what is no list
 	EndListReplace            // the watch gave way to a new one
+	endKinds                  // how many there are
 )
 
 // outcome maps an execution's end to what the module is told, and reports whether there is anything to tell.
--- a/internal/gateway/fromclients.go
+++ b/internal/gateway/fromclients.go
@@ -11,6 +11,9 @@
 // acceptPause is how long the listener rests when there is no descriptor left, unless a link closes before.
 const acceptPause = 50 * time.Millisecond
 
+// statusBadRequest answers a request that cannot be taken as it is.
+const statusBadRequest = 400
+
 // spentAtOnce is how many links that are not used again are closed as one comes: more, so that they grow fewer.
 const spentAtOnce = 2
 
@@ -81,6 +84,7 @@
 			g.dropClient(l, EndAnswered)
 		case l.Pending():
 			// What has come was read: the answer goes out with the close.
+			g.traceIncomplete(l)
 			g.write(l.Conn, clients.TooSlow())
 			g.dropClient(l, EndClientSlow)
 		default:
@@ -104,7 +108,7 @@
 func (g *Gateway) linksAwaited() bool { return g.paused && !g.alone() && !g.heirTakes }
 
 func (g *Gateway) clientCame(c loop.Conn) {
-	g.links.Add(c, g.now)
+	g.traceAccept(g.links.Add(c, g.now))
 	for range spentAtOnce {
 		if l := g.links.Spent(g.now); l != nil && g.alone() {
 			g.lookAndClose(l)
@@ -134,6 +138,9 @@
 			}
 			return
 		}
+		if !l.Busy && !l.Pending() {
+			g.traceFirstByte(l, len(e.Data))
+		}
 		l.Feed(g.now, e.Data)
 		if l.Upload {
 			g.setTimer(timerClient, uint64(l.Conn), g.now+clients.StandsFor)
@@ -200,6 +207,7 @@
 		if asked.Query.Class.Name != "" {
 			g.settle(asked.Query.Class.Name, faulted)
 		}
+		g.traceFaulty(l, asked.Query.ID, asked.Fault.Status, asked.Fault.Text)
 		g.reply(l, clients.Faulty(asked.Fault, !l.Closing))
 		return
 	case asked.Health:
@@ -208,12 +216,15 @@
 	case g.open[asked.Query.ID]:
 		// Two queries of one id could not be told apart at a host: the second would run in the first one's name.
 		g.settle(asked.Query.Class.Name, faulted)
+		g.traceFaulty(l, asked.Query.ID, statusBadRequest, "the id of an open request")
 		l.Upload = asked.Large
 		keep := g.keep(l)
 		g.reply(l, clients.Taken(keep))
 		return
-	case len(g.queries) >= g.cfg.Settings.Gateway.MostOpen || g.crowded() || g.tooLate(asked.Query.Patience):
+	}
+	if reason, refused := g.turnsAway(asked.Query.Patience); refused {
 		g.settle(asked.Query.Class.Name, throttled)
+		g.traceRefused(asked.Query.ID, reason, g.cfg.Settings.Config.MaxRetryAfter)
 		l.Upload = asked.Large
 		keep := g.keep(l)
 		g.reply(l, clients.Refused(g.cfg.Settings.Config.MaxRetryAfter, keep))
@@ -227,6 +238,7 @@
 	g.open[read.ID] = true
 	l.Busy, l.Query = true, q.id
 	l.Queries++
+	g.traceTaken(q)
 	if asked.Large {
 		g.beginUpload(q, l)
 	}
@@ -235,6 +247,19 @@
 		Repeat: read.Repeat})
 }
 
+// turnsAway reports whether a request is refused before the module hears of it, and why.
+func (g *Gateway) turnsAway(patience time.Duration) (refusalReason, bool) {
+	switch {
+	case len(g.queries) >= g.cfg.Settings.Gateway.MostOpen:
+		return refusedTooMany, true
+	case g.crowded():
+		return refusedCrowded, true
+	case g.tooLate(patience):
+		return refusedTooLate, true
+	}
+	return 0, false
+}
+
 // crowded reports whether queries hold nearly all links, so that hardly any could give way to those that wait. Guards
 // against an overload that fills every link with held queries: whoever comes then would wait unheard, longer than he
 // has time, where a refusal at once frees a link. With a next process nobody waits here: see resize.
@@ -325,12 +350,14 @@
 	case l.Upload && l.Muted:
 		g.setTimer(timerClient, uint64(c), g.now+clients.StandsFor) // it is the host that is waited for
 	case l.Upload:
+		g.traceIncomplete(l)
 		g.turnAway(g.queries[l.Query], l, clients.TooSlow())
 	case l.Busy:
 	case l.Pending() && g.now < l.Until():
 		g.setTimer(timerClient, uint64(c), l.Until())
 	case l.Pending():
 		l.Closing = true
+		g.traceIncomplete(l)
 		g.reply(l, clients.TooSlow())
 	case l.Queries == 1 && !g.closed && !(g.links.TooMany() && g.alone()) && g.now < l.Since+clients.IdleAfter:
 		// There were many links when it came to rest. Others were closed since, and few are no burden; or an upgrade began.
@@ -342,7 +369,7 @@
 
 // dropClient ends a client link. A query in work on it has lapsed, and its executions end with it.
 func (g *Gateway) dropClient(l *clients.Link, end End) {
-	g.log.Debug().Uint64("link", uint64(l.Conn)).Stringer("end", end).Msg("client link")
+	g.traceClientEnd(l, end)
 	g.stopTimer(timerClient, uint64(l.Conn))
 	g.links.Remove(l)
 	if r := g.relays[l.Conn]; r != nil {
@@ -364,6 +391,7 @@
 	q.over, q.client = true, 0
 	delete(g.open, q.ID)
 	g.settle(q.Class.Name, faulted) // the client has left; it may stand under any count
+	g.traceAnswered(q, faulted)
 	g.told = true
 	g.module.Lapsed(g.now, q.id)
 	for _, x := range append([]*execution(nil), q.executions...) {
--- a/internal/gateway/fromoperators.go
+++ b/internal/gateway/fromoperators.go
@@ -65,7 +65,18 @@
 
 func (g *Gateway) figures() operators.Figures {
 	f := operators.Figures{Fulfilled: make(map[string]int64), Throttled: make(map[string]int64), Faulted: make(map[string]int64),
-		Relayed: g.relayed, Open: len(g.open), Entries: g.group.Len(), Accepted: g.accepted, Invalid: g.invalid}
+		Relayed: g.relayed, Open: len(g.open), Entries: g.group.Len(), Accepted: g.accepted, Invalid: g.invalid,
+		Ends: make(map[string]uint64), Refusals: make(map[string]uint64), Retries: g.retries}
+	for end, count := range g.ends {
+		if count > 0 {
+			f.Ends[End(end).String()] = count
+		}
+	}
+	for reason, count := range g.refusals {
+		if count > 0 {
+			f.Refusals[refusalReason(reason).String()] = count
+		}
+	}
 	for _, name := range slices.Sorted(maps.Keys(g.tallies)) {
 		t := g.tallies[name]
 		f.Fulfilled[name], f.Throttled[name], f.Faulted[name] = t.fulfilled, t.throttled, t.faulted
--- a/internal/gateway/fromservers.go
+++ b/internal/gateway/fromservers.go
@@ -150,6 +150,7 @@
 		q.over = true
 		delete(g.open, q.ID)
 		g.settle(q.Class.Name, fulfilled)
+		g.traceAnswered(q, fulfilled)
 		if c := g.links.ByConn[q.client]; c != nil {
 			keep := g.keep(c)
 			g.answer(q, c, clients.Served(a.Passed(), a.Body, keep))
@@ -187,8 +188,9 @@
 	}
 	q.executions = slices.DeleteFunc(q.executions, func(y *execution) bool { return y == x })
 	g.forget(q)
+	g.countEnd(end)
 	if end != EndServed && end != EndTurnedAway {
-		g.log.Debug().Uint32("query", uint32(q.id)).Int("attempt", x.number).Stringer("end", end).
+		g.log.Debug().Uint32("query", uint32(q.id)).Str("id", q.ID).Int("attempt", x.number).Stringer("end", end).
 			Dur("after", g.now-x.began).Msg("execution")
 	}
 	g.ended = append(g.ended, pendingEnd{exec: x, end: end, answer: answer})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -115,6 +115,9 @@
 	relayed  int64               // requests written whole to hosts
 	accepted int                 // configurations taken at a reload
 	invalid  int                 // and turned down
+	ends     [endKinds]uint64    // of attempts and of client connections, by reason
+	refusals [refusalReasons]uint64
+	retries  uint64 // attempts beyond a request's first
 
 	elder      *handover.Link // the process that served before, while it lives
 	elderHolds int            // descriptors that it needs
--- /dev/null
+++ b/internal/gateway/trace_test.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"thymebend/internal/loop"
+)
+
+// Every request, refusal and close can be followed by its id, its connection and a reason, in the log and in the figures.
+func TestReasonsAreLoggedAndCounted(t *testing.T) {
+	r := newRig(t, "subscribe", object(1, true, entry(1, "up", 0)))
+	r.g.log = zerolog.New(&r.log).Level(zerolog.DebugLevel)
+	r.request(0, 0)
+	r.turn()
+	host := r.connecting(hostAddr(1))
+	r.connected(host)
+	r.answer(host, "500 Bad")
+	r.turn()
+	r.step(loop.Event{Kind: loop.Accepted, Conn: r.clients + 1, Via: loop.Listener})
+	r.step(loop.Event{Kind: loop.Data, Conn: r.clients + 1, Data: []byte("GET /vi")})
+	r.step(loop.Event{Kind: loop.EOF, Conn: r.clients + 1})
+	for _, want := range []string{`"message":"client connection accepted"`, `"message":"request begins to come"`,
+		`"id":"0000000000000001","class":"view"`, `"attempt":0`, `"end":"faulty"`,
+		`"end":"client gone","requests":0,"partly_read":true`} {
+		if !strings.Contains(r.log.String(), want) {
+			t.Errorf("no %s in the log:\n%s", want, r.log.String())
+		}
+	}
+	f := r.g.figures()
+	if f.Ends["faulty"] != 1 || f.Ends["client gone"] != 1 {
+		t.Errorf("ends %v", f.Ends)
+	}
+}
+
+// What the gateway refuses by itself is counted with the reason.
+func TestRefusalsAreCountedByReason(t *testing.T) {
+	r := newRig(t, "subscribe", object(1, true, entry(1, "up", 0)))
+	r.g.cfg.Settings.Gateway.MostOpen = 1
+	r.request(0, 0)
+	r.request(0, 0)
+	if f := r.g.figures(); f.Refusals["too many open"] != 1 {
+		t.Errorf("refusals %v", f.Refusals)
+	}
+}
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -85,6 +85,11 @@
 	OutOfRotation int              `json:"out_of_rotation"`
 	Accepted      int              `json:"cfg_accepted"`
 	Invalid       int              `json:"cfg_invalid"`
+	// Ends counts how attempts and client connections ended, Refusals why requests were refused, by reason; Retries counts
+	// attempts beyond a request's first.
+	Ends     map[string]uint64 `json:"ends"`
+	Refusals map[string]uint64 `json:"refusals"`
+	Retries  uint64            `json:"retries"`
 }
 
 // Fleet is this gateway's view of the others. Counts run from the start of the process.
