Failing test: clients that stop in the middle of a request, on real processes

With the incident's deadlines (3.682 and 4.603 s) a client that stops in the middle of a request waits 4.60 to 4.61 s for its error, with 12 s over 10 s; with 60 KiB of a body of 62 KiB sent 4.38 s even with deadlines of 2.5 s; a streamed body that stops 5.00 s. Ruled out: accept, loop, stop and reload, which change nothing.

--- /dev/null
+++ b/cmd/thymebend/stopped_test.go
@@ -0,0 +1,220 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// owedWithin is how soon a client that stops in the middle of a request is owed an error or a close.
+const owedWithin = 3 * time.Second
+
+// longDeadlines are the settings of the tests with the deadlines of the incident of stopped clients: 3.682 and 4.603 s.
+func longDeadlines() json.RawMessage {
+	text := strings.Replace(testSettings, `"give_up_ms":2000`, `"give_up_ms":3682`, 1)
+	return json.RawMessage(strings.Replace(text, `"give_up_ms":2500`, `"give_up_ms":4603`, 1))
+}
+
+// stallingProxy takes clients to an address, and passes on only so many bytes of what each sends. The gateway behind it has
+// a client that stops there and stays.
+func stallingProxy(t *testing.T, to string, bytesPassed int64) string {
+	t.Helper()
+	ln := listen(t)
+	go each(ln, func(client net.Conn) {
+		gateway, err := net.Dial("tcp", to)
+		if err != nil {
+			return
+		}
+		defer gateway.Close()
+		go func() {
+			_, _ = io.CopyN(gateway, client, bytesPassed)
+			_, _ = io.Copy(io.Discard, client) // the client goes on; the gateway hears nothing of it
+		}()
+		_, _ = io.Copy(client, gateway)
+	})
+	return ln.Addr().String()
+}
+
+// stop is a way in which a client stops in the middle of a request.
+type stop struct {
+	name   string
+	before string // asked and answered first, on the same connection
+	sends  []string
+	pause  time.Duration // between the pieces
+}
+
+// stops are the places in a request at which a client may stop.
+func stops(prefix string) []stop {
+	body := func(sent, stated int) string {
+		whole := lodge(fmt.Sprintf("%s%d-%d", prefix, sent, stated), strings.Repeat("x", stated))
+		return whole[:len(whole)-stated+sent]
+	}
+	chunked := strings.Replace(lodge(prefix+"chunked", ""), "Content-Length: 0", "Transfer-Encoding: chunked", 1)
+	expects := strings.Replace(body(0, 50), "Host: o", "Host: o\r\nExpect: 100-continue", 1)
+	half := view(prefix+"half", 900)
+	half = half[:len(half)/2]
+	list := []stop{
+		{name: "nothing sent"},
+		{name: "half a request line", sends: []string{"GET /vi"}},
+		{name: "half a head", sends: []string{half}},
+		{name: "a head without a body", sends: []string{body(0, 100)}},
+		{name: "half a body", sends: []string{body(60, 100)}},
+		{name: "most of a body that is held", sends: []string{body(60<<10, 62<<10)}},
+		{name: "half a chunk", sends: []string{chunked + "10\r\nabc"}},
+		{name: "no last chunk", sends: []string{chunked + "3\r\nabc\r\n"}},
+		{name: "asked to go on", sends: []string{expects}},
+		{name: "a body that is streamed", sends: []string{body(100<<10, 300<<10)}},
+		{name: "a streamed body in pieces", sends: []string{body(80<<10, 300<<10), strings.Repeat("x", 10<<10), strings.Repeat("x", 10<<10)},
+			pause: 300 * time.Millisecond},
+		{name: "half a request behind an answered one", before: view(prefix+"answered", 900), sends: []string{half}},
+		{name: "half a body behind an answered one", before: view(prefix+"answered-too", 900), sends: []string{body(40, 101)}},
+		{name: "half a request in one piece with a whole one", sends: []string{view(prefix+"whole", 900) + half}},
+		{name: "a slow head", sends: []string{half[:10], half[10:20], half[20:]}, pause: 600 * time.Millisecond},
+	}
+	return list
+}
+
+// play has a client stop, and returns how long it then waits for an error or a close, from when it sent its last byte, or from
+// its connecting if it never sent any.
+func (s stop) play(addr string) (time.Duration, error) {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		return 0, err
+	}
+	defer c.Close()
+	stopped := time.Now()
+	_ = c.SetDeadline(stopped.Add(patience))
+	if s.before != "" {
+		if _, err := io.WriteString(c, s.before); err != nil {
+			return 0, err
+		}
+		if err := answerWithin(c, http.StatusOK); err != nil {
+			return 0, err
+		}
+	}
+	for i, piece := range s.sends {
+		if i > 0 {
+			time.Sleep(s.pause) // of a client that is slow before it stops; no verdict hangs on it
+		}
+		if _, err := io.WriteString(c, piece); err != nil {
+			return 0, err
+		}
+		stopped = time.Now()
+	}
+	for { // an answer to a whole request in front, or the word to go on, is no error
+		var raw [4096]byte
+		n, err := c.Read(raw[:])
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return 0, fmt.Errorf("neither an error nor a close within %v", patience)
+		case err != nil, bytes.HasPrefix(raw[:n], []byte("HTTP/1.1 4")), bytes.HasPrefix(raw[:n], []byte("HTTP/1.1 5")):
+			return time.Since(stopped), nil
+		}
+	}
+}
+
+// answerWithin reads one answer with a body of stated length.
+func answerWithin(c net.Conn, want int) error {
+	status, _, _ := answer(c)
+	if status != want {
+		return fmt.Errorf("status %d, want %d", status, want)
+	}
+	return nil
+}
+
+// playStops has clients stop in every way at once, and returns how long each waited.
+func playStops(t *testing.T, addr string, list []stop) {
+	t.Helper()
+	var all sync.WaitGroup
+	for _, s := range list {
+		all.Go(func() {
+			if waited, err := s.play(addr); err != nil || waited > owedWithin {
+				t.Errorf("%s: an error or a close after %v (%v), owed within %v", s.name, waited.Round(time.Millisecond), err, owedWithin)
+			}
+		})
+	}
+	all.Wait()
+}
+
+// A client that stops in the middle of a request and stays gets an error or a close within 3 s, whatever the deadlines of the
+// settings are, wherever it stops, behind a proxy too, through a reload and in a planned end. Other clients are served
+// meanwhile, and nothing of the half requests reaches a host whole.
+func TestStoppedClientsGetAnErrorOrAClose(t *testing.T) {
+	for name, settings := range map[string]json.RawMessage{
+		"deadlines of 2.5 s": json.RawMessage(testSettings),
+		"deadlines of 4.6 s": longDeadlines(),
+		"deadlines of 12 s":  settingsWith(`"give_up_ms":2500`, `"give_up_ms":12000`),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHost(t, "s-1", ok)
+			g := start(t, map[string]any{"settings": settings}, h)
+			playStops(t, g.addr, stops("a"))
+			if status, _, _ := ask(t, g.dial(), view("other", 900)); status != 200 {
+				t.Errorf("another client: %d", status)
+			}
+		})
+	}
+	t.Run("behind a proxy", func(t *testing.T) {
+		t.Parallel()
+		g := start(t, map[string]any{"settings": longDeadlines()}, newHost(t, "s-1", ok))
+		whole := lodge("proxied", strings.Repeat("x", 500))
+		for _, passed := range []int64{0, 20, int64(len(whole)) - 500, int64(len(whole)) - 1} {
+			playStops(t, stallingProxy(t, g.addr, passed), []stop{{name: fmt.Sprint(passed, " bytes passed"), sends: []string{whole}}})
+		}
+	})
+	t.Run("through a reload to longer deadlines", func(t *testing.T) {
+		t.Parallel()
+		g := start(t, nil, newHost(t, "s-1", ok))
+		c := g.dial()
+		fmt.Fprint(c, view("before", 900)[:30])
+		g.reload("settings", longDeadlines())
+		until(t, "the reload", func() bool { return g.logs(`"message":"reload"`) })
+		playStops(t, g.addr, stops("r"))
+		if status, _, _ := answer(c); status != 408 {
+			t.Errorf("half a request from before the reload: %d, want 408", status)
+		}
+	})
+	t.Run("in a planned end", func(t *testing.T) {
+		t.Parallel()
+		g := start(t, map[string]any{"settings": longDeadlines()}, newHost(t, "s-1", ok))
+		var all sync.WaitGroup
+		all.Go(func() { playStops(t, g.addr, stops("e")) })
+		until(t, "half requests to come", func() bool { return strings.Count(g.log.String(), "request begins to come") >= 10 })
+		g.signal(syscall.SIGTERM)
+		all.Wait()
+		if code := g.exit(); code != 0 {
+			t.Errorf("exit code %d", code)
+		}
+	})
+	t.Run("while hosts hang", func(t *testing.T) {
+		t.Parallel()
+		release := make(chan bool)
+		t.Cleanup(func() { close(release) })
+		var hung atomic.Int32
+		h := newHost(t, "s-1", func(c net.Conn, r *http.Request, body string) { hung.Add(1); <-release })
+		g := start(t, map[string]any{"settings": longDeadlines()}, h)
+		for i := range 8 {
+			fmt.Fprint(g.dial(), view(fmt.Sprint("hangs", i), 3600))
+		}
+		until(t, "requests to hang", func() bool { return hung.Load() > 0 })
+		var list []stop
+		for _, s := range stops("h") {
+			if s.before == "" && !strings.Contains(s.name, "whole one") { // these wait for an answer first
+				list = append(list, s)
+			}
+		}
+		playStops(t, g.addr, list)
+	})
+}
