Wait for a half request by the platform's 3 s, not by the longest deadline of the settings

Link.Until stretched it further by a second for each 32 KiB that had come, though nothing more came, and StandsFor let a streamed body stand still for 5 s.

Change: internal/clients/incomplete.go alone says until when a half request is waited for: 2.5 s from the accept or the first byte; past that a body goes on at 32 KiB a second with no silence over 0.5 s; a streamed one may be silent for 2.5 s while it is read. A streamed body is read no further only once more of it has come, so that a client that stopped can be told from one that waits.

TestTimeToAskGoesByTheDeadlines was wrong: it asked that a silent connection be kept for 4 s where a class waits 12, which the operators' 3 s forbid.

--- a/cmd/thymebend/crossing_test.go
+++ b/cmd/thymebend/crossing_test.go
@@ -347,22 +347,39 @@
 	}
 }
 
-// The time for a request to come whole goes by the settings' longest deadline: a client that may wait for twelve seconds
-// is not turned away after two and a half, which one deployment's classes would justify.
-func TestTimeToAskGoesByTheDeadlines(t *testing.T) {
-	h := newHost(t, "s-1", ok)
-	g := start(t, map[string]any{"settings": settingsWith(`"give_up_ms":2500`, `"give_up_ms":12000`)}, h)
-	c, other := g.dial(), g.dial()
-	began := time.Now()
-	if _, err := io.WriteString(c, view("slow", 900)[:40]); err != nil {
-		t.Fatal(err)
-	}
-	_ = other.SetReadDeadline(began.Add(4 * time.Second)) // an idle link that sends nothing is not turned away either
-	if _, err := other.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
-		t.Errorf("a new link was ended after %v: %v", time.Since(began), err)
-	}
-	if status, _, _ := ask(t, c, view("slow", 900)[40:]); status != 200 {
-		t.Errorf("%d after %v", status, time.Since(began))
+// The time for a request to come whole is the same whatever the deadlines of the settings are: a slow client that goes on is
+// served where they are short, one that stops is not waited for where they are long.
+func TestTimeToAskIsTheSameForAllDeadlines(t *testing.T) {
+	for _, deadline := range []string{"700", "12000"} {
+		t.Run(deadline, func(t *testing.T) {
+			t.Parallel()
+			settings := strings.Replace(testSettings, `"aim_ms":800,"give_up_ms":2000`, `"aim_ms":500,"give_up_ms":`+deadline, 1)
+			settings = strings.Replace(settings, `"aim_ms":800,"give_up_ms":2500`, `"aim_ms":500,"give_up_ms":`+deadline, 1)
+			g := start(t, map[string]any{"settings": json.RawMessage(settings)}, newHost(t, "s-1", ok))
+			silent, slow := g.dial(), g.dial()
+			began, ended := time.Now(), make(chan time.Duration, 1)
+			go func() {
+				_, _, _ = answer(silent)
+				ended <- time.Since(began)
+			}()
+			raw := lodge("slow", strings.Repeat("x", 40<<10))
+			head := strings.Index(raw, "\r\n\r\n") + 4
+			for _, part := range []string{raw[:head/3], raw[head/3 : 2*head/3], raw[2*head/3 : head]} {
+				fmt.Fprint(slow, part)
+				time.Sleep(700 * time.Millisecond) // a slow client is what is played here
+			}
+			for rest := raw[head:]; len(rest) > 0; time.Sleep(50 * time.Millisecond) {
+				n := min(len(rest), 3200)
+				fmt.Fprint(slow, rest[:n])
+				rest = rest[n:]
+			}
+			if status, _, _ := answer(slow); status != 200 {
+				t.Errorf("a slow client: %d after %v", status, time.Since(began))
+			}
+			if took := <-ended; took < 2*time.Second || took > owedWithin {
+				t.Errorf("a connection that says nothing was ended after %v", took)
+			}
+		})
 	}
 }
 
--- /dev/null
+++ b/internal/clients/incomplete_test.go
@@ -0,0 +1,113 @@
+package clients
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+// someClasses knows one class of each method.
+func someClasses(name, method string) (Class, bool) {
+	return Class{Name: name, Method: method}, name == "view" || name == "bid"
+}
+
+// halfBid is a request with a body of so many bytes, of which a part is sent.
+func halfBid(length, sent int) []byte {
+	return []byte(fmt.Sprintf("POST /bid HTTP/1.1\r\nHost: h\r\nX-Trace-Id: a\r\nX-Qos: bid\r\nX-Expires-In: 900m\r\nContent-Length: %d\r\n\r\n", length) +
+		strings.Repeat("x", sent))
+}
+
+// piece is what comes of a request at a time after the accept.
+type piece struct {
+	at   time.Duration
+	data []byte
+}
+
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// A client that stops gets its error within 3 s of stopping, and of connecting where it stops within the first 2.5 s; one
+// that goes on at the least rate is waited for.
+func TestUntil(t *testing.T) {
+	head, body := halfBid(60<<10, 0), halfBid(60<<10, 60<<10-1)
+	steady := []piece{{ms(2000), head}}
+	for at := 2100; at <= 3000; at += 100 {
+		steady = append(steady, piece{ms(at), make([]byte, 5000)})
+	}
+	for name, c := range map[string]struct {
+		pieces []piece
+		want   time.Duration
+	}{
+		"nothing":                       {nil, ms(2500)},
+		"a part of a head":              {[]piece{{ms(100), head[:20]}}, ms(2500)},
+		"a head that drips":             {[]piece{{ms(100), head[:20]}, {ms(2400), head[20:40]}}, ms(2500)},
+		"a head alone":                  {[]piece{{ms(100), head}}, ms(2500)},
+		"most of a body at once":        {[]piece{{ms(100), body}}, ms(2500)},
+		"most of a body, late":          {[]piece{{ms(2400), body}}, ms(2900)},
+		"a body at the least rate":      {steady, ms(3500)},
+		"a body far below it":           {[]piece{{ms(2000), head}, {ms(2450), []byte("xx")}}, ms(2503)},
+		"a large one, its head and 1 %": {[]piece{{ms(100), halfBid(1<<20, 10<<10)}}, ms(2500)},
+	} {
+		l := NewLinks(1).Add(1, 0)
+		for _, p := range c.pieces {
+			l.Came += len(p.data)
+			l.Feed(p.at, p.data)
+			if _, whole := l.Next(someClasses); whole {
+				t.Fatalf("%s: whole", name)
+			}
+		}
+		if got := l.Until().Truncate(time.Millisecond); got != c.want {
+			t.Errorf("%s: until %v, want %v", name, got, c.want)
+		}
+		if got := l.Until(); len(c.pieces) > 0 && got > c.pieces[len(c.pieces)-1].at+OwedWithin {
+			t.Errorf("%s: until %v, over 3 s after the last byte", name, got)
+		}
+	}
+}
+
+// A streamed body may stand still for StreamPause while it is read. What has come and waits for a host is not the client's silence.
+func TestIncompleteStreams(t *testing.T) {
+	for name, c := range map[string]struct {
+		raw  []byte
+		want bool
+	}{
+		"all of it came":    {halfBid(66<<10, 66<<10), false},
+		"some is to come":   {halfBid(300<<10, 66<<10), true},
+		"chunked, some":     {chunkedBid(5, false), true},
+		"chunked, all":      {chunkedBid(5, true), false},
+		"chunked, no way":   {append(chunkedBid(5, false), "zz\r\n"...), false},
+		"chunked, half end": {append(chunkedBid(5, false), "0\r\n"...), true},
+	} {
+		l := NewLinks(1).Add(1, 0)
+		l.Feed(0, c.raw)
+		asked, whole := l.Next(someClasses)
+		if !whole || !asked.Large || asked.Fault != nil {
+			t.Fatalf("%s: %v %+v", name, whole, asked)
+		}
+		l.Begin()
+		if got := l.Incomplete(); got != c.want {
+			t.Errorf("%s: incomplete %v, want %v", name, got, c.want)
+		}
+		l.Muted = true
+		if l.Incomplete() {
+			t.Errorf("%s: waited for though it is not read", name)
+		}
+		l.Resume(ms(9000))
+		if got := l.Until(); got != ms(9000)+StreamPause {
+			t.Errorf("%s: until %v", name, got)
+		}
+	}
+}
+
+// chunkedBid is a request of so many chunks of 16 KiB, with the last one or without.
+func chunkedBid(chunks int, whole bool) []byte {
+	var b strings.Builder
+	b.WriteString("POST /bid HTTP/1.1\r\nHost: h\r\nX-Trace-Id: a\r\nX-Qos: bid\r\nX-Expires-In: 900m\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for range chunks {
+		fmt.Fprintf(&b, "%x\r\n%s\r\n", 16<<10, strings.Repeat("x", 16<<10))
+	}
+	if whole {
+		b.WriteString("0\r\n\r\n")
+	}
+	return []byte(b.String())
+}
--- a/internal/clients/link.go
+++ b/internal/clients/link.go
@@ -19,13 +19,6 @@
 	MostPipelined = http1.MaxHead + http1.MaxHeld
 	// IdleAfter closes a link on which nothing was asked for this long.
 	IdleAfter = 90 * time.Second
-	// RequestWithin is the least that a request has to come whole, see Links.Within: the first one from the accept on, a
-	// later one from its first byte on. It grows only with what has come, by LeastRate: what trickles in does not renew it.
-	RequestWithin = 2500 * time.Millisecond
-	// LeastRate is the least that a client sends of a request's body, in bytes a second.
-	LeastRate = 32 << 10
-	// StandsFor is how long a body that is streamed may stand still.
-	StandsFor = 5 * time.Second
 	// FirstSoon is how soon a client that connects for a request usually sends it.
 	FirstSoon = 500 * time.Millisecond
 	// SpeaksWithin is the least that a new link has to bring its first byte, however short links run.
@@ -63,7 +56,6 @@
 	Began    time.Duration // of the request that is coming
 	Came     int           // bytes of it
 	heard    time.Duration // last byte
-	within   time.Duration // that a request has to come whole
 	queue    *queue        // that it stands in
 	before   *Link
 	after    *Link
@@ -148,11 +140,6 @@
 	return asked
 }
 
-// Until is the time by which the request that is coming must be whole, for what has come of it.
-func (l *Link) Until() time.Duration {
-	return l.Began + l.within + time.Duration(l.Came)*time.Second/LeastRate
-}
-
 // Silent is how long nothing has come.
 func (l *Link) Silent(now time.Duration) time.Duration { return now - l.heard }
 
--- a/internal/clients/links.go
+++ b/internal/clients/links.go
@@ -15,8 +15,6 @@
 	ByConn map[loop.Conn]*Link
 	Most   int
 	Many   int // past it links that are not used again are closed, see Spent
-	// Within is what a request has to come whole: a client that may wait longer for its answer may take longer to ask.
-	Within time.Duration
 
 	ended     queue // our sending has ended, after the last answer
 	unused    queue // nothing has come yet, by their accept
@@ -29,7 +27,7 @@
 
 // NewLinks returns room for so many links.
 func NewLinks(most int) *Links {
-	return &Links{ByConn: make(map[loop.Conn]*Link), Most: most, Within: RequestWithin}
+	return &Links{ByConn: make(map[loop.Conn]*Link), Most: most}
 }
 
 // InOrder returns the links, oldest first. Maps are walked in no order; the same events must have the same effects.
@@ -39,7 +37,7 @@
 
 // Add takes a new client link.
 func (s *Links) Add(c loop.Conn, now time.Duration) *Link {
-	l := &Link{Conn: c, Accepted: now, Since: now, Began: now, heard: now, within: s.Within}
+	l := &Link{Conn: c, Accepted: now, Since: now, Began: now, heard: now}
 	s.ByConn[c] = l
 	s.Place(l)
 	return l
--- a/internal/gateway/fromclients.go
+++ b/internal/gateway/fromclients.go
@@ -114,7 +114,7 @@
 			g.lookAndClose(l)
 		}
 	}
-	patience := g.links.Within
+	patience := clients.WholeWithin
 	if g.closed {
 		patience = clients.LingerFor // its request is on the way, or never comes
 	}
@@ -143,7 +143,7 @@
 		}
 		l.Feed(g.now, e.Data)
 		if l.Upload {
-			g.setTimer(timerClient, uint64(l.Conn), g.now+clients.StandsFor)
+			g.setTimer(timerClient, uint64(l.Conn), l.Until())
 			g.pumpUpload(g.queries[l.Query])
 			return
 		}
@@ -191,7 +191,7 @@
 	}
 	if l.Asked && !l.Timed {
 		l.Timed, l.Began = true, g.now
-		g.setTimer(timerClient, uint64(l.Conn), g.now+g.links.Within)
+		g.setTimer(timerClient, uint64(l.Conn), l.Until())
 	}
 	if l.AwaitsContinue() {
 		g.write(l.Conn, clients.Continue())
@@ -347,8 +347,10 @@
 		g.setTimer(timerClient, uint64(c), g.now+clients.TakenWithin) // the client has taken all that there is
 	case l.Busy && l.Query == 0:
 		g.dropClient(l, EndClientSlow)
-	case l.Upload && l.Muted:
-		g.setTimer(timerClient, uint64(c), g.now+clients.StandsFor) // it is the host that is waited for
+	case l.Upload && !l.Incomplete():
+		g.setTimer(timerClient, uint64(c), g.now+clients.StreamPause) // it is the host that is waited for
+	case l.Upload && g.now < l.Until():
+		g.setTimer(timerClient, uint64(c), l.Until())
 	case l.Upload:
 		g.traceIncomplete(l)
 		g.turnAway(g.queries[l.Query], l, clients.TooSlow())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -237,7 +237,6 @@
 	for i := range g.cfg.Settings.Config.Classes {
 		g.places = append(g.places, i)
 	}
-	g.links.Within = max(clients.RequestWithin, g.longest())
 	g.countClasses()
 	if g.cfg.Control.IsValid() {
 		g.ask(loop.Effect{Op: loop.Listen, Conn: loop.Control, Addr: g.cfg.Control, Urgent: true})
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -120,7 +120,7 @@
 			g.links.Place(l)
 			left := clients.IdleAfter - idle
 			if !l.Asked {
-				left = g.links.Within - idle
+				left = clients.WholeWithin - idle
 			}
 			g.setTimer(timerClient, uint64(c), g.now+max(left, 0))
 			g.ask(loop.Effect{Op: loop.Unmute, Conn: c})
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -59,7 +59,6 @@
 	// Sites keep the numbers that they have: hosts and the module know them by these.
 	fresh.Gateway.Zones = g.cfg.Settings.Gateway.Zones
 	g.cfg.Settings, g.places = fresh, places
-	g.links.Within = max(clients.RequestWithin, g.longest())
 	g.countClasses()
 }
 
--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -21,11 +21,11 @@
 	whole  bool       // the last piece has been taken from the client
 }
 
-// beginUpload has a link wait, with the first part of a body, until the module has chosen a host.
+// beginUpload has a link wait, with the first part of a body, until the module has chosen a host. The link is read no further
+// once more of the body has come: until then a client that has stopped can be told from one that waits.
 func (g *Gateway) beginUpload(q *query, l *clients.Link) {
 	q.up = &upload{length: l.Begin()}
-	g.mute(l)
-	g.setTimer(timerClient, uint64(l.Conn), g.now+clients.StandsFor)
+	g.setTimer(timerClient, uint64(l.Conn), l.Until())
 }
 
 // mute reads a link no further. Its client's end is still told, though it lies behind what is not read: nothing may
@@ -40,7 +40,7 @@
 
 func (g *Gateway) unmute(l *clients.Link) {
 	if l.Muted {
-		l.Muted = false
+		l.Resume(g.now)
 		g.ask(loop.Effect{Op: loop.Unmute, Conn: l.Conn})
 	}
 }
--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -58,6 +58,28 @@
 	return r.head
 }
 
+// HeadRead reports whether the head of the message under way has come whole.
+func (r *Reader) HeadRead() bool { return r.head != nil }
+
+// Complete reports whether all of the message under way has come, though not all of it may have been handed out.
+func (r *Reader) Complete() bool {
+	if r.head == nil {
+		return false
+	}
+	rest := r.body
+	for in := r.in; !rest.done; {
+		_, used, fault := rest.take(in)
+		if fault != nil {
+			return true // nothing that is still to come mends it
+		}
+		if used == 0 {
+			return false
+		}
+		in = in[used:]
+	}
+	return true
+}
+
 // Full reports whether as much of the body waits as is held.
 func (r *Reader) Full() bool { return len(r.payload) >= MaxHeld }
 
