Count SIGKILL from the longest deadline, 3 s at most, where a stop refuses late requests

With deadlines of 2 s a half request that was completed 0.8 s after SIGTERM with 2 s of patience was taken though SIGKILL may come after 2.7 s, and with 6 s one of 4 s though it may come after 3.7 s: what came over 0.7 s after SIGTERM and is found in work then is lost.

Change: killAt is min(3 s, longest) + 0.7 s less the margin; it binds from the close of the listener on (0.55 s), before which nothing counts as lost. Ruled out: a larger margin, which would leave deadlines over 3 s taken.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -154,7 +154,7 @@
 
 	paused   bool // the listener is muted
 	stopping bool
-	killAt   time.Duration // with stopping: what is not answered by then may be lost
+	killAt   time.Duration // with stopping: SIGKILL may come from then on
 	closed   bool          // nothing new is taken but what waits at the listener
 	drained  bool          // the listener is closed
 }
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -12,10 +12,11 @@
 const acceptAfterStop = 550 * time.Millisecond
 
 // What the platform promises of a planned end: SIGKILL comes no sooner after SIGTERM than the longest deadline, taken
-// as leastGrace where it is shorter, and killAfter more.
+// as mostGrace where it is longer, and killAfter more. Requests that come within killAfter of SIGTERM count as lost to
+// nobody where SIGKILL finds them in work.
 const (
-	leastGrace = 3 * time.Second
-	killAfter  = 700 * time.Millisecond
+	mostGrace = 3 * time.Second
+	killAfter = 700 * time.Millisecond
 )
 
 // killMargin is what a final answer and its way to the client take, on a busy processor.
@@ -32,7 +33,7 @@
 	}
 	g.log.Info().Int("queries", len(g.queries)).Msg("stopping")
 	g.stopping = true
-	g.killAt = g.now + max(leastGrace, g.longest()) + killAfter - killMargin
+	g.killAt = g.now + min(mostGrace, g.longest()) + killAfter - killMargin
 	g.quitFleet(true)
 	if g.heirTakes {
 		// The next process takes clients, and the links after their answers: there is no one to wait for.
@@ -48,9 +49,10 @@
 }
 
 // tooLate reports whether a request that comes during a planned end might still be in work at SIGKILL, which would lose
-// it: a half request that is completed late, or one with a longer deadline than its class. It is refused at once.
+// it: a half request that is completed once the listener is closed, or one on a connection that has stood until then. It is
+// refused at once. What comes before counts as lost to nobody.
 func (g *Gateway) tooLate(patience time.Duration) bool {
-	return g.stopping && !g.heirTakes && g.now+patience > g.killAt
+	return g.closed && !g.heirTakes && g.now+patience > g.killAt
 }
 
 // closeListener takes what still waits at the listener, then closes it and the idle client links.
