--- /dev/null
+++ b/internal/gateway/stopped_test.go
@@ -0,0 +1,53 @@
+package gateway
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"thymebend/internal/clients"
+	"thymebend/internal/loop"
+)
+
+// halfRequest is what a client sends before it stops.
+const halfRequest = "GET /view HTTP/1.1\r\nHost: h\r\nX-Tra"
+
+// heardWithin lets time pass until a client has an error or a close, and reports how long that took.
+func (r *rig) heardWithin(c loop.Conn, most time.Duration) (time.Duration, bool) {
+	r.t.Helper()
+	for from := r.now; r.now < from+most; r.pass(10 * time.Millisecond) {
+		if bytes.HasPrefix(r.written[c], []byte("HTTP/1.1 4")) || r.closed[c] {
+			return r.now - from, true
+		}
+	}
+	return most, false
+}
+
+// Half a request that comes in the moment of the last look at a new connection, whose time is over, is answered: its timer has
+// just fallen due and would never come again.
+func TestHalfRequestAtTheLastLook(t *testing.T) {
+	r := newRig(t, "subscribe", object(1, true, entry(1, "up", 0)))
+	c := loop.Conn(1<<63 + 50)
+	r.step(loop.Event{Kind: loop.Accepted, Conn: c, Via: loop.Listener})
+	key := loop.Timer{Kind: timerClient, ID: uint64(c)}
+	r.now = r.timers[key]
+	delete(r.timers, key)
+	r.step(loop.Event{Kind: loop.TimerDue, Timer: key}) // the last look begins
+	r.step(loop.Event{Kind: loop.Data, Conn: c, Data: []byte(halfRequest)})
+	if took, heard := r.heardWithin(c, 2*clients.OwedWithin); !heard || took > clients.OwedWithin {
+		t.Errorf("an error or a close after %v (%v)", took, heard)
+	}
+}
+
+// The close of the listener in a planned end starts no client's time anew.
+func TestStopGivesHalfRequestsNoMoreTime(t *testing.T) {
+	r := newRig(t, "subscribe", object(1, true, entry(1, "up", 0)))
+	c := loop.Conn(1<<63 + 50)
+	r.step(loop.Event{Kind: loop.Accepted, Conn: c, Via: loop.Listener})
+	r.step(loop.Event{Kind: loop.Data, Conn: c, Data: []byte(halfRequest)})
+	r.pass(1900 * time.Millisecond)
+	r.step(loop.Event{Kind: loop.Stop}) // the listener closes 0.55 s later, 50 ms before the client's time is over
+	if took, heard := r.heardWithin(c, 2*clients.OwedWithin); !heard || took > clients.OwedWithin-1900*time.Millisecond {
+		t.Errorf("an error or a close %v after the stop (%v)", took, heard)
+	}
+}
