Time every half request, also one that begins at a connection's last look or crosses a stop

Cause: awaitRest set a timer for later requests alone, as that of a first one runs since the accept; when that falls due on a silent connection, lookAndClose reads once more, and a half request that this brings was left without any timer, for good. closeListener set the timer of half requests to now + 1 s, whatever was left of their time.

Change: awaitRest sets the timer once for each request, a first one's from the accept; closeListener takes the sooner of the two.

--- a/internal/gateway/fromclients.go
+++ b/internal/gateway/fromclients.go
@@ -184,13 +184,17 @@
 }
 
 // awaitRest bounds the time for the rest of a request, from its first byte on; clientTimer gives more for what has
-// come meanwhile. That of a first request has run since the accept.
+// come meanwhile. That of a first request has run since the accept. It is set in any case: the timer of a new connection may
+// just have fallen due, and its last look has brought the first byte.
 func (g *Gateway) awaitRest(l *clients.Link) {
 	if !l.Pending() {
 		return
 	}
-	if l.Asked && !l.Timed {
-		l.Timed, l.Began = true, g.now
+	if !l.Timed {
+		if l.Asked {
+			l.Began = g.now
+		}
+		l.Timed = true
 		g.setTimer(timerClient, uint64(l.Conn), l.Until())
 	}
 	if l.AwaitsContinue() {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -69,7 +69,7 @@
 		case l.Busy:
 			l.Closing = true
 		case l.Pending():
-			g.setTimer(timerClient, uint64(l.Conn), g.now+clients.LingerFor)
+			g.setTimer(timerClient, uint64(l.Conn), min(l.Until(), g.now+clients.LingerFor))
 		default:
 			g.lookAndClose(l)
 		}
