Count a watch's silence from its last whole line, which no part of a line and no other call renews

Gateway.watchData set the timer of a watch to now and its patience for any bytes, and watchEnds set that of the standing watch anew when a call beside it ended. So a watch that tore in the middle of a line was found silent up to 2.4 s late with each piece, and the first answer up to 3.1 s: 2.4 + 0.3 + 3.0 + 3.1 s pass the 6 s after which a change counts as told.

Change: Watch keeps when its last whole line came and what has come since; Until is that, its patience, and a second for each 64 KiB, so that a long list is still waited for. A call that ends beside the standing watch leaves that watch's time as it is.

--- a/internal/gateway/fromlist.go
+++ b/internal/gateway/fromlist.go
@@ -23,9 +23,9 @@
 
 // openWatch calls discovery where the configuration now has it.
 func (g *Gateway) openWatch() *hostgroup.Watch {
-	w := hostgroup.NewWatch(g.pool.NextConn(), g.cfg.Discovery)
+	w := hostgroup.NewWatch(g.pool.NextConn(), g.cfg.Discovery, g.now)
 	g.ask(loop.Effect{Op: loop.Dial, Conn: w.Conn, Addr: w.Addr, Urgent: true})
-	g.setTimer(timerWatch, uint64(w.Conn), g.now+w.Patience())
+	g.setTimer(timerWatch, uint64(w.Conn), w.Until())
 	return w
 }
 
@@ -90,8 +90,8 @@
 func (g *Gateway) watchEvent(w *hostgroup.Watch, e loop.Event) {
 	switch e.Kind {
 	case loop.Connected:
-		g.write(e.Conn, g.group.Request(w))
-		g.setTimer(timerWatch, uint64(w.Conn), g.now+w.Patience())
+		g.write(e.Conn, g.group.Request(w, g.now))
+		g.setTimer(timerWatch, uint64(w.Conn), w.Until())
 	case loop.Readable:
 		g.ask(loop.Effect{Op: loop.Read, Conn: e.Conn})
 	case loop.Data:
@@ -105,7 +105,7 @@
 // count as told: those before it are applied, and of those after it the departures.
 func (g *Gateway) watchData(w *hostgroup.Watch, data []byte) {
 	first := !w.Started()
-	lines, ended, fault := w.Feed(data)
+	lines, ended, fault := w.Feed(g.now, data)
 	broken := false
 	for _, line := range lines {
 		if broken {
@@ -129,8 +129,8 @@
 		g.watchEnds(w, EndListGarbled, fault)
 	case ended:
 		g.watchEnds(w, EndListLost, nil)
-	default:
-		g.setTimer(timerWatch, uint64(w.Conn), g.now+w.Patience())
+	case w != g.queued: // one that keeps its place has the time set by callUnanswered
+		g.setTimer(timerWatch, uint64(w.Conn), w.Until())
 	}
 }
 
@@ -276,7 +276,7 @@
 	case moving && g.watch.Addr == g.cfg.Discovery && g.pushed():
 		g.setTimer(timerWatch, uint64(g.watch.Conn), g.now+moveAgain) // the watch is silent: the agent is asked beside it again
 	case moving && g.watch.Addr == g.cfg.Discovery:
-		g.setTimer(timerWatch, uint64(g.watch.Conn), g.now+g.watch.Patience())
+		// The watch stands, with the time that it has.
 	case moving:
 		g.moveLater(failure)
 	}
--- a/internal/hostgroup/pieces_test.go
+++ b/internal/hostgroup/pieces_test.go
@@ -16,10 +16,10 @@
 	}
 	for first := range len(stream) {
 		for _, more := range []int{1, 2, 3, 7, 50} {
-			w := NewWatch(1, netip.AddrPort{})
+			w := NewWatch(1, netip.AddrPort{}, 0)
 			var got []string
 			feed := func(part string) {
-				out, ended, err := w.Feed([]byte(part))
+				out, ended, err := w.Feed(0, []byte(part))
 				if err != nil || ended {
 					t.Fatalf("cut at %d and %d: %v", first, more, err)
 				}
@@ -42,12 +42,12 @@
 func TestTornObjectIsFoundOutByTheNextBeat(t *testing.T) {
 	const whole = `{"seq":1,"whole":false,"hosts":[{"host":"a","health":"removed"}]}`
 	for at := 1; at < len(whole); at++ {
-		w := NewWatch(1, netip.AddrPort{})
+		w := NewWatch(1, netip.AddrPort{}, 0)
 		feed := func(line string) error {
-			_, _, err := w.Feed([]byte(fmt.Sprintf("%x\r\n%s\n\r\n", len(line)+1, line)))
+			_, _, err := w.Feed(0, []byte(fmt.Sprintf("%x\r\n%s\n\r\n", len(line)+1, line)))
 			return err
 		}
-		if _, _, err := w.Feed([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")); err != nil {
+		if _, _, err := w.Feed(0, []byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")); err != nil {
 			t.Fatal(err)
 		}
 		if feed(whole[:at]) == nil && feed("") == nil && feed("") == nil {
--- a/internal/hostgroup/size_test.go
+++ b/internal/hostgroup/size_test.go
@@ -60,7 +60,7 @@
 		if large := perHost(hosts); large > 1.25*small {
 			t.Errorf("%.1f allocations a host with %d hosts, %.1f with 100", large, hosts, small)
 		}
-		w := NewWatch(1, netip.AddrPort{})
+		w := NewWatch(1, netip.AddrPort{}, 0)
 		raw := indented(list(1, hosts, 0, "up"))
 		lines := feedWatch(t, w, raw)
 		if len(lines) != 1 || len(lines[0]) != len(raw) {
@@ -74,16 +74,16 @@
 
 // An object beyond the bound is an error that names the bound. What came of it is not applied.
 func TestObjectBeyondTheBound(t *testing.T) {
-	w := NewWatch(1, netip.AddrPort{})
-	if _, _, err := w.Feed([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")); err != nil {
+	w := NewWatch(1, netip.AddrPort{}, 0)
+	if _, _, err := w.Feed(0, []byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")); err != nil {
 		t.Fatal(err)
 	}
 	piece := strings.Repeat(host("a", "draining", 5)+",", 400)
-	if _, _, err := w.Feed([]byte("1\r\n{\r\n")); err != nil {
+	if _, _, err := w.Feed(0, []byte("1\r\n{\r\n")); err != nil {
 		t.Fatal(err)
 	}
 	for came := 1; ; came += len(piece) {
-		lines, _, err := w.Feed(fmt.Appendf(nil, "%x\r\n%s\r\n", len(piece), piece))
+		lines, _, err := w.Feed(0, fmt.Appendf(nil, "%x\r\n%s\r\n", len(piece), piece))
 		if len(lines) > 0 || came > 2*mostPending {
 			t.Fatalf("%d objects after %d bytes", len(lines), came)
 		}
@@ -108,7 +108,7 @@
 	stream := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\n\r\n", len(raw)+1, raw)
 	for len(stream) > 0 {
 		n := min(len(stream), 64<<10)
-		out, ended, err := w.Feed(stream[:n])
+		out, ended, err := w.Feed(0, stream[:n])
 		if err != nil || ended {
 			t.Fatal(err)
 		}
--- a/internal/hostgroup/watch.go
+++ b/internal/hostgroup/watch.go
@@ -24,6 +24,9 @@
 	AbandonAfter = 30 * time.Second
 )
 
+// listRate is the least at which a long object of the list comes, in bytes a second: so much more time it has.
+const listRate = 64 << 10
+
 // mostRetryAfter bounds what a refusal may ask for.
 const mostRetryAfter = time.Minute
 
@@ -49,20 +52,22 @@
 	depth   int  // of the object that they belong to; 0 between two
 	quoted  bool // they are in one of its texts
 	escaped bool
-	blank   bool   // nothing has come on the line under way
-	up      bool   // its connection has come up
-	asked   uint64 // the version since which it has asked for changes
-	started bool   // its first line has come
+	blank   bool          // nothing has come on the line under way
+	up      bool          // its connection has come up
+	asked   uint64        // the version since which it has asked for changes
+	started bool          // its first line has come
+	since   time.Duration // of its last whole line, or of what came before its first: the request, the call
+	partial int           // bytes that have come since then
 }
 
-// NewWatch prepares a watch of discovery at an address, on a connection.
-func NewWatch(conn loop.Conn, at netip.AddrPort) *Watch {
-	return &Watch{Conn: conn, Addr: at, blank: true, reader: http1.Reader{Response: true, Stream: true}}
+// NewWatch prepares a watch of discovery at an address, on a connection that is opened now.
+func NewWatch(conn loop.Conn, at netip.AddrPort, now time.Duration) *Watch {
+	return &Watch{Conn: conn, Addr: at, since: now, blank: true, reader: http1.Reader{Response: true, Stream: true}}
 }
 
 // Request is the call for what changed since the list that the group has, once the watch's connection is up.
-func (g *Group) Request(w *Watch) []byte {
-	w.up, w.asked = true, g.seq
+func (g *Group) Request(w *Watch, now time.Duration) []byte {
+	w.up, w.asked, w.since = true, g.seq, now
 	return http1.AppendRequest(nil, "GET", "/v1/servers?stream=1&index="+strconv.FormatUint(g.seq, 10),
 		[]http1.Field{{Name: "Host", Value: w.Addr.String()}}, nil)
 }
@@ -70,7 +75,13 @@
 // Feed takes what discovery wrote and returns the whole objects, each of one line or, where it is indented, of several. An
 // empty line is a beat; within an object it tells that the object was torn. ended tells that the
 // answer is over, which a watch's never is while all is well. Beside an error stand the lines that came whole before the fault.
-func (w *Watch) Feed(data []byte) (lines [][]byte, ended bool, err error) {
+func (w *Watch) Feed(now time.Duration, data []byte) (lines [][]byte, ended bool, err error) {
+	w.partial += len(data)
+	defer func() {
+		if len(lines) > 0 {
+			w.since, w.partial = now, len(w.pending)
+		}
+	}()
 	w.reader.Feed(data)
 	head, piece, done, fault := w.reader.Pieces()
 	if fault != nil {
@@ -141,8 +152,14 @@
 // Up reports whether the connection has come up.
 func (w *Watch) Up() bool { return w.up }
 
-// Patience is how long the watch may now be silent.
-func (w *Watch) Patience() time.Duration {
+// Until is the time at which the watch counts as silent. Part of a line puts it off by no more than so many bytes take: what
+// discovery has to tell counts as told whether or not it has arrived.
+func (w *Watch) Until() time.Duration {
+	return w.since + w.patience() + time.Duration(w.partial)*time.Second/listRate
+}
+
+// patience is how long the next whole line may take.
+func (w *Watch) patience() time.Duration {
 	switch {
 	case w.started:
 		return BeatWithin
