Guard every attempt, answer, wait and close with one last check that counts violations

Change: internal/guard, pure, with its own record of each request; internal/gateway/guarded.go asks it before the first byte of an attempt, a final answer, a refusal, the wait for a half request, the close of a client connection and the end. An attempt whose connection comes up after the client's time is no longer written. Four planted defects.

--- a/internal/clients/incomplete.go
+++ b/internal/clients/incomplete.go
@@ -39,9 +39,12 @@
 	if l.Upload {
 		return !l.Muted && !l.reader.Complete()
 	}
-	return l.Pending()
+	return !l.Busy && !l.Ended && l.Pending()
 }
 
+// Heard is when the last byte came.
+func (l *Link) Heard() time.Duration { return l.heard }
+
 // Resume notes that the connection is read again: what the client could not send meanwhile is not its silence.
 func (l *Link) Resume(now time.Duration) {
 	l.Muted = false
--- a/internal/clients/query.go
+++ b/internal/clients/query.go
@@ -28,6 +28,7 @@
 	Name   string
 	Place  int    // the module's
 	Method string // that its requests have
+	Rules  thymebend.Class
 }
 
 // Classes finds a class by the name and the method of a request.
--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -19,7 +19,7 @@
 		return
 	}
 	g.nextExec++
-	x := &execution{query: q, number: q.attempts, id: g.nextExec, host: to, began: g.now, until: q.deadline}
+	x := &execution{query: q, number: q.attempts, id: g.nextExec, host: to, began: g.now, until: q.deadline, written: unwritten}
 	q.attempts++
 	q.executions = append(q.executions, x)
 	g.byID[x.id] = x
@@ -37,6 +37,10 @@
 
 // Refuse implements thymebend.Actions. A refusal goes out at once.
 func (g *Gateway) Refuse(id thymebend.RequestID, after time.Duration) {
+	if q := g.queries[id]; q != nil && !q.over && !g.guard.MayPromise(&q.rules) {
+		g.Fail(id)
+		return
+	}
 	q, l := g.finish(id, throttled)
 	if q != nil {
 		g.traceRefused(q.ID, refusedByModule, after)
@@ -56,7 +60,7 @@
 // finish concludes a query and returns the link on which its answer goes out, if the client is still there.
 func (g *Gateway) finish(id thymebend.RequestID, r result) (*query, *clients.Link) {
 	q := g.queries[id]
-	if q == nil || q.over {
+	if q == nil || q.over || !g.guard.Answer(&q.rules) {
 		return nil, nil
 	}
 	q.over = true
--- a/internal/gateway/fromclients.go
+++ b/internal/gateway/fromclients.go
@@ -108,7 +108,8 @@
 func (g *Gateway) linksAwaited() bool { return g.paused && !g.alone() && !g.heirTakes }
 
 func (g *Gateway) clientCame(c loop.Conn) {
-	g.traceAccept(g.links.Add(c, g.now))
+	added := g.links.Add(c, g.now)
+	g.traceAccept(added)
 	for range spentAtOnce {
 		if l := g.links.Spent(g.now); l != nil && g.alone() {
 			g.lookAndClose(l)
@@ -118,7 +119,7 @@
 	if g.closed {
 		patience = clients.LingerFor // its request is on the way, or never comes
 	}
-	g.setTimer(timerClient, uint64(c), g.now+patience)
+	g.timeClient(added, g.now+patience)
 }
 
 func (g *Gateway) clientEvent(l *clients.Link, e loop.Event) {
@@ -134,7 +135,7 @@
 		if l.Ended || l.Drop {
 			// What comes after the last answer belongs to no query. A client that is still sending is given time.
 			if l.Ended && l.Drop && g.now < l.Since+clients.LingerMost {
-				g.setTimer(timerClient, uint64(l.Conn), g.now+clients.LingerFor)
+				g.timeClient(l, g.now+clients.LingerFor)
 			}
 			return
 		}
@@ -143,7 +144,7 @@
 		}
 		l.Feed(g.now, e.Data)
 		if l.Upload {
-			g.setTimer(timerClient, uint64(l.Conn), l.Until())
+			g.timeClient(l, l.Until())
 			g.pumpUpload(g.queries[l.Query])
 			return
 		}
@@ -164,6 +165,7 @@
 	}
 	if g.links.ByConn[l.Conn] == l {
 		g.links.Place(l)
+		g.checkTimed(l)
 	}
 }
 
@@ -195,7 +197,7 @@
 			l.Began = g.now
 		}
 		l.Timed = true
-		g.setTimer(timerClient, uint64(l.Conn), l.Until())
+		g.timeClient(l, l.Until())
 	}
 	if l.AwaitsContinue() {
 		g.write(l.Conn, clients.Continue())
@@ -234,10 +236,10 @@
 		g.reply(l, clients.Refused(g.cfg.Settings.Config.MaxRetryAfter, keep))
 		return
 	}
-	g.stopTimer(timerClient, uint64(l.Conn))
+	g.untimeClient(l)
 	read := asked.Query
 	g.nextID++
-	q := &query{Query: read, id: g.nextID, client: l.Conn, deadline: g.now + read.Patience}
+	q := newQuery(read, g.nextID, l.Conn, g.now)
 	g.queries[q.id] = q
 	g.open[read.ID] = true
 	l.Busy, l.Query = true, q.id
@@ -281,7 +283,7 @@
 // its link, nor the program's end, for ever.
 func (g *Gateway) lastWords(l *clients.Link, data []byte) {
 	l.Query = 0
-	g.setTimer(timerClient, uint64(l.Conn), g.now+clients.TakenWithin)
+	g.timeClient(l, g.now+clients.TakenWithin)
 	g.write(l.Conn, data)
 }
 
@@ -307,7 +309,7 @@
 		l.Ended = true
 		g.unmute(l)
 		g.ask(loop.Effect{Op: loop.Shutdown, Conn: l.Conn})
-		g.setTimer(timerClient, uint64(l.Conn), g.now+clients.LingerFor)
+		g.timeClient(l, g.now+clients.LingerFor)
 		return
 	}
 	g.unmute(l)
@@ -315,7 +317,9 @@
 	if l.Queries == 1 && g.links.TooMany() && g.alone() {
 		rest = clients.OnceFor // no new process may be left to close it, see Spent
 	}
-	g.setTimer(timerClient, uint64(l.Conn), g.now+rest)
+	if !l.Pending() { // else the time of the next request begins, see awaitRest
+		g.timeClient(l, g.now+rest)
+	}
 	g.restless = true
 	g.links.Place(l)
 	if g.closed && !g.heirTakes {
@@ -337,9 +341,11 @@
 func (g *Gateway) clientTimer(c loop.Conn) {
 	l := g.links.ByConn[c]
 	if l != nil {
+		l.Armed = false
 		defer func() {
 			if g.links.ByConn[c] == l {
 				g.links.Place(l)
+				g.checkTimed(l)
 			}
 		}()
 	}
@@ -348,26 +354,26 @@
 	case l.Ended:
 		g.dropClient(l, EndAnswered)
 	case g.relays[c] != nil && !g.relays[c].busy:
-		g.setTimer(timerClient, uint64(c), g.now+clients.TakenWithin) // the client has taken all that there is
+		g.timeClient(l, g.now+clients.TakenWithin) // the client has taken all that there is
 	case l.Busy && l.Query == 0:
 		g.dropClient(l, EndClientSlow)
 	case l.Upload && !l.Incomplete():
-		g.setTimer(timerClient, uint64(c), g.now+clients.StreamPause) // it is the host that is waited for
+		g.timeClient(l, g.now+clients.StreamPause) // it is the host that is waited for
 	case l.Upload && g.now < l.Until():
-		g.setTimer(timerClient, uint64(c), l.Until())
+		g.timeClient(l, l.Until())
 	case l.Upload:
 		g.traceIncomplete(l)
 		g.turnAway(g.queries[l.Query], l, clients.TooSlow())
 	case l.Busy:
 	case l.Pending() && g.now < l.Until():
-		g.setTimer(timerClient, uint64(c), l.Until())
+		g.timeClient(l, l.Until())
 	case l.Pending():
 		l.Closing = true
 		g.traceIncomplete(l)
 		g.reply(l, clients.TooSlow())
 	case l.Queries == 1 && !g.closed && !(g.links.TooMany() && g.alone()) && g.now < l.Since+clients.IdleAfter:
 		// There were many links when it came to rest. Others were closed since, and few are no burden; or an upgrade began.
-		g.setTimer(timerClient, uint64(c), l.Since+clients.IdleAfter)
+		g.timeClient(l, l.Since+clients.IdleAfter)
 	default:
 		g.lookAndClose(l)
 	}
@@ -376,7 +382,8 @@
 // dropClient ends a client link. A query in work on it has lapsed, and its executions end with it.
 func (g *Gateway) dropClient(l *clients.Link, end End) {
 	g.traceClientEnd(l, end)
-	g.stopTimer(timerClient, uint64(l.Conn))
+	g.checkClose(l, end)
+	g.untimeClient(l)
 	g.links.Remove(l)
 	if r := g.relays[l.Conn]; r != nil {
 		// Half an answer is out: the client must be able to tell, however it is framed.
@@ -395,6 +402,7 @@
 // lapse ends a query that gets no answer of the module's any more, and its executions.
 func (g *Gateway) lapse(q *query) {
 	q.over, q.client = true, 0
+	q.rules.Left()
 	delete(g.open, q.ID)
 	g.settle(q.Class.Name, faulted) // the client has left; it may stand under any count
 	g.traceAnswered(q, faulted)
--- a/internal/gateway/fromoperators.go
+++ b/internal/gateway/fromoperators.go
@@ -66,7 +66,8 @@
 func (g *Gateway) figures() operators.Figures {
 	f := operators.Figures{Fulfilled: make(map[string]int64), Throttled: make(map[string]int64), Faulted: make(map[string]int64),
 		Relayed: g.relayed, Open: len(g.open), Entries: g.group.Len(), Accepted: g.accepted, Invalid: g.invalid,
-		Ends: make(map[string]uint64), Refusals: make(map[string]uint64), Retries: g.retries}
+		Ends: make(map[string]uint64), Refusals: make(map[string]uint64), Retries: g.retries,
+		Violations: g.guard.Counts()}
 	for end, count := range g.ends {
 		if count > 0 {
 			f.Ends[End(end).String()] = count
--- a/internal/gateway/fromservers.go
+++ b/internal/gateway/fromservers.go
@@ -42,8 +42,12 @@
 	g.byLink[l.Conn] = x
 }
 
-// request writes the query to the host. Nothing goes to a host that has left meanwhile: see hostsLeft.
+// request writes the query to the host, if it may still be written. Nothing goes to a host that has left meanwhile: see hostsLeft.
 func (g *Gateway) request(x *execution, op loop.Op) {
+	if end, held := g.holdsBack(x); held {
+		g.endExecution(x, end, nil)
+		return
+	}
 	x.link.Phase = servers.Writing
 	if q := x.query; q.up != nil {
 		// The head goes alone: nothing of the body is lost if the link turns out to be dead.
@@ -62,14 +66,6 @@
 	case loop.Readable:
 		g.ask(loop.Effect{Op: loop.Read, Conn: l.Conn})
 	case loop.Connected:
-		if !g.takesNew(x.host) {
-			g.endExecution(x, EndHostLeft, nil)
-			return
-		}
-		if !g.module.MayBegin(g.now, x.query.id, x.number) {
-			g.endExecution(x, EndWindow, nil)
-			return
-		}
 		g.setTimer(timerExecution, x.id, x.until)
 		g.request(x, loop.Write)
 	case loop.Flushed:
@@ -82,6 +78,8 @@
 		}
 	case loop.Stale:
 		// Nothing was written. The host closed this link while it was idle; the next one may be better.
+		x.query.rules.Ended(x.written, true)
+		x.written = unwritten
 		g.dropLink(l, EndLinkIdle)
 		g.begin(x)
 	case loop.Data:
@@ -146,7 +144,7 @@
 		g.unbind(x)
 		g.rest(l)
 	}
-	if end == EndServed && !q.over {
+	if end == EndServed && !q.over && g.guard.Answer(&q.rules) {
 		q.over = true
 		delete(g.open, q.ID)
 		g.settle(q.Class.Name, fulfilled)
@@ -183,6 +181,9 @@
 	g.stopTimer(timerExecution, x.id)
 	delete(g.byID, x.id)
 	q := x.query
+	if outcome, _ := end.outcome(); x.written != unwritten {
+		q.rules.Ended(x.written, outcome.Unrun())
+	}
 	if q.up != nil {
 		q.up.x, q.up.busy = nil, false
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"thymebend"
 	"thymebend/internal/clients"
 	"thymebend/internal/config"
+	"thymebend/internal/guard"
 	"thymebend/internal/handover"
 	"thymebend/internal/hostgroup"
 	"thymebend/internal/loop"
@@ -62,6 +63,7 @@
 	attempts   int
 	executions []*execution // under way
 	up         *upload      // its body, where that is too large to be held
+	rules      guard.Request
 }
 
 // execution is one attempt under way.
@@ -73,6 +75,8 @@
 	link   *servers.Link
 	began  time.Duration
 	until  time.Duration // awaited until then
+	// written is its number among the attempts of which something was written, unwritten before.
+	written int
 }
 
 // pendingEnd is an end that the module is told once it has returned.
@@ -118,6 +122,7 @@
 	ends     [endKinds]uint64    // of attempts and of client connections, by reason
 	refusals [refusalReasons]uint64
 	retries  uint64 // attempts beyond a request's first
+	guard    guard.Guard
 
 	elder      *handover.Link // the process that served before, while it lives
 	elderHolds int            // descriptors that it needs
@@ -172,6 +177,7 @@
 		movePacer: pacing.Pacer{First: moveAgain},
 		draws:     rand.New(rand.NewPCG(cfg.Seed, drawStream)),
 	}
+	g.guard.Report = g.traceViolation
 	return g
 }
 
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -122,7 +122,7 @@
 			if !l.Asked {
 				left = clients.WholeWithin - idle
 			}
-			g.setTimer(timerClient, uint64(c), g.now+max(left, 0))
+			g.timeClient(l, g.now+max(left, 0))
 			g.ask(loop.Effect{Op: loop.Unmute, Conn: c})
 		}
 		g.elderHolds = m.Holds
@@ -259,7 +259,7 @@
 		}
 		notes = append(notes, handover.Idle{Asked: l.Asked, Queries: l.Queries, IdleMS: (g.now - l.Since).Milliseconds()})
 		g.passing = append(g.passing, l.Conn)
-		g.stopTimer(timerClient, uint64(l.Conn))
+		g.untimeClient(l)
 		g.links.Remove(l)
 	}
 	g.resize()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -26,7 +26,7 @@
 func (g *Gateway) large(x *execution, a *servers.Answer) {
 	q, l := x.query, x.link
 	c := g.links.ByConn[q.client]
-	if a.Status != 200 || q.over || c == nil {
+	if a.Status != 200 || q.over || c == nil || !g.guard.Answer(&q.rules) {
 		g.answered(x, a)
 		return
 	}
@@ -46,7 +46,7 @@
 	g.forget(q)
 	g.write(c.Conn, http1.AppendResponseHead(nil, 200, a.Passed(), length, q.Message.Minor, keep))
 	r.busy = true
-	g.setTimer(timerClient, uint64(c.Conn), g.now+clients.TakenWithin)
+	g.timeClient(c, g.now+clients.TakenWithin)
 	g.setTimer(timerLink, uint64(l.Conn), g.now+standsFor)
 }
 
@@ -104,7 +104,7 @@
 		return
 	}
 	r.busy = true
-	g.setTimer(timerClient, uint64(r.client.Conn), g.now+clients.TakenWithin)
+	g.timeClient(r.client, g.now+clients.TakenWithin)
 	g.write(r.client.Conn, data)
 }
 
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -77,11 +77,11 @@
 		if c.Name != name {
 			continue
 		}
-		found := clients.Class{Name: name, Place: g.places[i], Method: clients.MethodOf(c.Effect)}
+		found := clients.Class{Name: name, Place: g.places[i], Method: clients.MethodOf(c.Effect), Rules: c}
 		if f, ok := g.former[name]; ok && g.now < f.until && method == clients.MethodOf(f.class.Effect) && method != found.Method {
 			found.Method = method
 			if f.class.Effect > c.Effect {
-				found.Place = f.place
+				found.Place, found.Rules = f.place, f.class
 			}
 		}
 		return found, true
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -69,7 +69,7 @@
 		case l.Busy:
 			l.Closing = true
 		case l.Pending():
-			g.setTimer(timerClient, uint64(l.Conn), min(l.Until(), g.now+clients.LingerFor))
+			g.timeClient(l, min(l.Until(), g.now+clients.LingerFor))
 		default:
 			g.lookAndClose(l)
 		}
@@ -85,7 +85,7 @@
 
 // exitIfDone ends the program once all that was taken is answered and every client has its answer.
 func (g *Gateway) exitIfDone() {
-	if g.drained && len(g.queries) == 0 && len(g.links.ByConn) == 0 && len(g.passing) == 0 {
+	if g.drained && len(g.queries) == 0 && len(g.links.ByConn) == 0 && len(g.passing) == 0 && g.guard.End(len(g.open)) {
 		g.log.Info().Msg("stopped")
 		g.ask(loop.Effect{Op: loop.Exit})
 	}
--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -25,7 +25,7 @@
 // once more of the body has come: until then a client that has stopped can be told from one that waits.
 func (g *Gateway) beginUpload(q *query, l *clients.Link) {
 	q.up = &upload{length: l.Begin()}
-	g.setTimer(timerClient, uint64(l.Conn), l.Until())
+	g.timeClient(l, l.Until())
 }
 
 // mute reads a link no further. Its client's end is still told, though it lies behind what is not read: nothing may
@@ -72,7 +72,7 @@
 	up.spent, up.whole, up.busy = up.spent || len(piece) > 0, done, true
 	if done {
 		l.Upload = false
-		g.stopTimer(timerClient, uint64(l.Conn))
+		g.untimeClient(l)
 	}
 	g.unmute(l)
 	g.setTimer(timerExecution, up.x.id, g.now+standsFor)
@@ -100,7 +100,7 @@
 	x.link.Phase = servers.Awaiting
 	g.relayed++
 	x.began, x.until = g.now, g.now+x.query.Patience
-	x.query.deadline = x.until
+	x.query.deadline, x.query.rules.Deadline = x.until, x.until
 	g.setTimer(timerExecution, x.id, x.until)
 	g.notices = append(g.notices, notice{exec: x, done: true})
 }
--- a/internal/lab/mutants/main.go
+++ b/internal/lab/mutants/main.go
@@ -22,6 +22,9 @@
 	edits   []edit
 }
 
+// stopped is the profile of clients that stop in the middle of their requests.
+const stopped = "stopped-clients"
+
 // rollouts is the profile of defects that the rollouts' own play is to catch, not that of whole gateways.
 const rollouts = "rollouts"
 
@@ -74,6 +77,14 @@
 		one("take half a large answer for whole", "bulk", "internal/gateway/relay.go", "		if !r.server.EndsByClose() {", "		if false {"),
 		one("give up a call in discovery's queue and call again", "discovery-load", "internal/hostgroup/watch.go",
 			"	case w.up:\n		return AnswerWithin\n", "	case w.up:\n		return 2700 * time.Millisecond\n"),
+		one("wait for half a request by the clock of another bound", stopped, "internal/clients/incomplete.go",
+			"	plain := l.Began + WholeWithin\n", "	plain := l.Began + 12*time.Second\n"),
+		one("leave half a body without a time", stopped, "internal/clients/incomplete.go",
+			"		return max(plain, l.heard+StreamPause)", "		return max(plain, l.heard+2*StreamPause)"),
+		one("set no timer for half a request", stopped, "internal/gateway/fromclients.go",
+			"		l.Timed = true\n		g.timeClient(l, l.Until())\n", "		l.Timed = true\n"),
+		one("write an attempt after its client's time", "restart-surge", "internal/gateway/guarded.go",
+			"	case g.now >= x.until:\n		return EndNotUp, true\n", ""),
 		one("never watch the agent", "pushed", "internal/gateway/gateway.go", "		defer g.move()\n", ""),
 		one("call a lost agent no more", "pushed", "internal/gateway/fromlist.go",
 			"	case g.watch == nil && g.pushed():\n		g.setTimer(timerMove, 0, g.now+moveAgain)\n", "	case g.watch == nil && g.pushed():\n"),
--- a/internal/lab/virtual/clients.go
+++ b/internal/lab/virtual/clients.go
@@ -174,6 +174,9 @@
 			c.finish("garbage")
 		})
 		return
+	case "stop":
+		c.stop(text[:int(c.req.Sends*float64(len(text)))], max(1, c.req.Pieces))
+		return
 	case "trickle":
 		c.trickle(text)
 		return
@@ -193,6 +196,35 @@
 	c.wasSent()
 }
 
+// owedWithin is how soon a client that stops in the middle of a request is owed an error or a close.
+const owedWithin = 3 * time.Second
+
+// stop sends a part of a request in pieces, and then nothing more. Its client is owed an error or a close from then on.
+func (c *client) stop(text []byte, pieces int) {
+	if c.over {
+		return
+	}
+	part := text[:len(text)/pieces]
+	n, err := c.end.Write(part)
+	switch {
+	case err != nil && err != unix.EAGAIN:
+		c.finish("closed")
+		return
+	case err == unix.EAGAIN || n < len(part): // there is no room: it has sent all that it can for now
+		c.w.sim.After(10*time.Millisecond, func() { c.stop(text[n:], pieces) })
+		return
+	case pieces > 1:
+		c.w.sim.After(msec(c.req.PauseMS), func() { c.stop(text[n:], pieces-1) })
+		return
+	}
+	c.w.sim.After(owedWithin+slack, func() {
+		if !c.over {
+			c.w.find(NotHeard, c.id, "%s told a client that stopped neither an error nor a close within %v", c.gw.name, owedWithin)
+			c.finish("not heard")
+		}
+	})
+}
+
 func (c *client) trickle(text []byte) {
 	if c.over {
 		return
@@ -234,6 +266,10 @@
 		}
 	}
 	if c.end.Gone() {
+		if c.req.Act == "stop" {
+			c.finish("closed")
+			return
+		}
 		c.broken("closed")
 	}
 }
--- a/internal/lab/virtual/plan.go
+++ b/internal/lab/virtual/plan.go
@@ -27,11 +27,15 @@
 	Unsafe  bool   `json:"unsafe,omitempty"`
 	Patient int    `json:"patience_ms"`
 	Retries int    `json:"retries,omitempty"`
-	Act     string `json:"act,omitempty"`    // "" as it should; leave, trickle, half, garbage, silent
-	Body    int    `json:"body,omitempty"`   // bytes of a bid's body, past the usual
-	Pad     int    `json:"pad,omitempty"`    // bytes that the host adds to its answer
-	Chunks  bool   `json:"chunks,omitempty"` // both in chunks
-	Fresh   bool   `json:"fresh,omitempty"`
+	Act     string `json:"act,omitempty"` // "" as it should; leave, trickle, half, garbage, silent, stop
+	// Sends is the share of the request that a client sends that stops, in Pieces of PauseMS apart.
+	Sends   float64 `json:"sends,omitempty"`
+	Pieces  int     `json:"pieces,omitempty"`
+	PauseMS int     `json:"pause_ms,omitempty"`
+	Body    int     `json:"body,omitempty"`   // bytes of a bid's body, past the usual
+	Pad     int     `json:"pad,omitempty"`    // bytes that the host adds to its answer
+	Chunks  bool    `json:"chunks,omitempty"` // both in chunks
+	Fresh   bool    `json:"fresh,omitempty"`
 }
 
 // Plan is a whole run: what it consists of, and every fault and request in it.
@@ -57,6 +61,8 @@
 	LoseData   float64 `json:"lose_datagrams,omitempty"`
 	DoubleData float64 `json:"double_datagrams,omitempty"`
 	Pushed     bool    `json:"pushed,omitempty"` // lists come by an agent on each gateway's machine
+	// DeadlineMS is the longest deadline of every class; 0 is the usual ones.
+	DeadlineMS int `json:"deadline_ms,omitempty"`
 	// Calls is how discovery works through calls; nil answers each at once.
 	Calls    *CallQueue `json:"calls,omitempty"`
 	Faults   []Fault    `json:"faults"`
@@ -93,6 +99,8 @@
 			"gateway-stillborn", "gateway-reload", "host-replace", "host-down", "host-cold", "host-errors", "fleet-replace", "fleet-kill", "surge"},
 		discoveryLoadProfile: {"load-reset", "load-silence", "load-end", "load-whole", "load-at-once",
 			"surge", "net-jitter"},
+		stoppedProfile: {"rude-stop", "rude-silent", "rude-leave", "bulk", "surge", "net-split", "net-jitter", "host-hang", "host-drain",
+			"gateway-term", "gateway-kill", "gateway-reload", "gateway-upgrade", "gateway-stillborn"},
 		"reload":     {"gateway-reload", "host-drain", "host-replace", "discovery-down", "gateway-term"},
 		"everything": slices.Concat(hosts, spoils, gateways, disc, rude, net, []string{"surge", "host-cold", "gateway-reload"}),
 	}
@@ -106,6 +114,15 @@
 // leave meanwhile. It is as large as the fleet profile for its traffic, so that no seed takes it unasked either.
 const discoveryLoadProfile = "discovery-load"
 
+// stoppedProfile is clients that stop in the middle of their requests and stay, with deadlines of all lengths. It came last, so
+// no seed takes it unasked: each goes on playing what it did.
+const stoppedProfile = "stopped-clients"
+
+// unasked reports whether a seed without a profile may take one.
+func unasked(profile string) bool {
+	return profile != fleetProfile && profile != discoveryLoadProfile && profile != stoppedProfile
+}
+
 // Profiles lists the profiles by name.
 func Profiles() []string {
 	var names []string
@@ -127,7 +144,7 @@
 	rng := rand.New(rand.NewPCG(seed, 0xd1ce))
 	all := Profiles()
 	if profile == "" {
-		small := slices.DeleteFunc(slices.Clone(all), func(n string) bool { return n == fleetProfile || n == discoveryLoadProfile })
+		small := slices.DeleteFunc(slices.Clone(all), func(name string) bool { return !unasked(name) })
 		profile = small[rng.IntN(len(small))]
 	}
 	kinds, ok := profiles()[profile]
@@ -155,6 +172,9 @@
 		}
 	}
 	p.Pushed = profile == "pushed"
+	if profile == stoppedProfile {
+		p.DeadlineMS = []int{900, 2500, 3700, 4600, 12000}[rng.IntN(5)]
+	}
 	if profile == discoveryLoadProfile {
 		p.Gateways, p.Hosts = 20+rng.IntN(41), 6+rng.IntN(7)
 	}
@@ -283,6 +303,9 @@
 		if len(rude) > 0 && rng.IntN(10) == 0 {
 			q.Act, q.Retries = rude[rng.IntN(len(rude))], 0
 		}
+		if q.Act == "stop" {
+			q.Sends, q.Pieces, q.PauseMS = rng.Float64(), between(1, 3), between(10, 700)
+		}
 		p.Requests = append(p.Requests, q)
 	}
 	return p, nil
--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -371,6 +371,24 @@
 	}
 }
 
+// Clients that stop in the middle of their requests and stay, beside stops, upgrades and hosts that hang, with deadlines from 0.9
+// to 12 s. The last seeds once left large requests unanswered in their clients' time.
+func TestStoppedClientsHoldTheRules(t *testing.T) {
+	seeds := []uint64{69, 95, 118}
+	for seed := range uint64(40) {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			o := holds(t, draw(t, seed, stoppedProfile))
+			if o.Tries < 50 || o.Served == 0 {
+				t.Errorf("a run of nothing: %+v", o)
+			}
+		})
+	}
+}
+
 // Seeds that once broke a rule, or a check that was wrong.
 func TestSeedsThatOnceFailedHold(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/lab/virtual/world.go
+++ b/internal/lab/virtual/world.go
@@ -35,6 +35,8 @@
 	BadExit   = "bad exit"   // a process ended with an error
 	Crowded   = "crowded"    // more connections at one host than the parts of a fleet come to
 	ShutDoor  = "shut door"  // an upgrade closed a link under its client
+	NotHeard  = "not heard"  // a client that stopped in the middle of a request was not told in time
+	HeldBack  = "held back"  // a gateway's guard held back an effect that would have broken a rule
 )
 
 // The rules in figures; see the operators' pages.
@@ -89,6 +91,13 @@
 	beliefs  *beliefs
 	rates    *fleetRates // of a fleet; nil elsewhere
 	wrap     func(loop.Reducer) loop.Reducer
+	guarded  []guarded
+}
+
+// guarded is a process that ran, whose guard is asked at the end.
+type guarded struct {
+	name    string
+	gateway *gateway.Gateway
 }
 
 // machine is a gateway's machine; its process may end and start again.
@@ -181,6 +190,7 @@
 	}
 	w.stopAll()
 	w.compare()
+	w.askGuards()
 	if sim.interrupted() {
 		w.found = w.found[:found]
 	}
@@ -211,6 +221,12 @@
 			Work: experiment.Work{Dist: "pareto", Mean: d(35 * time.Millisecond), CV: 2}},
 		{Name: "bid-lodge", Share: 0.36, Unsafe: true, Worth: 8, Aim: d(800 * time.Millisecond), Patience: d(2500 * time.Millisecond),
 			Work: experiment.Work{Dist: "lognormal", Mean: d(70 * time.Millisecond), CV: 2}}}
+	if p.DeadlineMS > 0 {
+		for i := range f.Classes {
+			f.Classes[i].Patience = d(msec(p.DeadlineMS))
+			f.Classes[i].Aim = d(min(f.Classes[i].Aim.Duration, msec(p.DeadlineMS)))
+		}
+	}
 	f.Hosts = []experiment.Hosts{{Kind: "h", Count: p.Hosts, Site: "suva", Cores: 1, Speed: 1.2, Slots: 1, Queue: 14, ThrashAt: 8, Thrash: 0.04,
 		ColdFrom: 0.2, ColdFor: d(12 * time.Second), WarmBy: "work", Fall: 3, FallFor: d(time.Second), PauseEvery: d(6 * time.Second),
 		PauseFor: d(30 * time.Millisecond), ErrorRate: 0.0005, Idle: d(30 * time.Second), ReportMin: d(50 * time.Millisecond),
@@ -346,6 +362,7 @@
 	}
 	w.sim.Note("%s starts", m.name)
 	gw := gateway.New(cfg, m.logger())
+	w.guarded = append(w.guarded, guarded{m.name, gw})
 	if m.before = (process{}); m.elder != nil {
 		m.before = m.process
 	}
@@ -531,6 +548,16 @@
 	}
 }
 
+// askGuards finds what the gateways' guards held back.
+func (w *world) askGuards() {
+	for _, process := range w.guarded {
+		violations := process.gateway.Violations()
+		for _, rule := range slices.Sorted(maps.Keys(violations)) {
+			w.find(HeldBack, process.name, "%s, %d times", rule, violations[rule])
+		}
+	}
+}
+
 func (w *world) outcome() Outcome {
 	o := Outcome{Hash: w.sim.Hash(), Findings: w.found, Tries: w.asked, Steps: w.sim.Steps(), Lasted: w.sim.Since(), Sums: w.rates.String(),
 		Partial: w.sim.interrupted()}
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -90,6 +90,8 @@
 	Ends     map[string]uint64 `json:"ends"`
 	Refusals map[string]uint64 `json:"refusals"`
 	Retries  uint64            `json:"retries"`
+	// Violations counts effects that would have broken a rule, and were held back, by the rule.
+	Violations map[string]uint64 `json:"violations"`
 }
 
 // Fleet is this gateway's view of the others. Counts run from the start of the process.
