Count a client's time from its own last byte, also where that is read or sent on late

Cause: the incident's class again, a bound started anew by what has nothing to do with it. A client's patience runs from its last byte (PROTOCOL). uploadFlushed started it when the last byte of a large request had reached the host; take started it for a request behind another when that had its answer; AppendHead told hosts the whole patience.

Change: internal/clients/arrivals.go keeps when the bytes of a connection may have been written at the earliest: those behind another request when they came, those that waited unread since reading stopped, for as much as the system's buffer holds. Deadlines, the time told to hosts and the module's (Request.Waited) go by that; a request whose client's time is over when it is taken is refused.

--- a/api.go
+++ b/api.go
@@ -101,6 +101,8 @@
 	// value is taken for a repeat.
 	Patience time.Duration
 	Repeat   bool // marked by the client as a repeat
+	// Waited is how much of the patience had passed before the gateway could take the request.
+	Waited time.Duration
 }
 
 // Outcome says how an attempt ended.
--- a/balancer.go
+++ b/balancer.go
@@ -245,7 +245,8 @@
 		return
 	}
 	r := b.newRequest()
-	r.Request, r.arrived, r.begun, r.deadline = in, now, now, now+in.Patience
+	begun := now - in.Waited
+	r.Request, r.arrived, r.begun, r.deadline = in, begun, begun, begun+in.Patience
 	if age := b.classes[in.Class].age(in.Patience); in.Repeat || !b.cfg.MarksRepeats {
 		r.begun -= age // a first try of an impatient client is no repeat
 	}
--- /dev/null
+++ b/internal/clients/arrivals_test.go
@@ -0,0 +1,108 @@
+package clients
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"thymebend/internal/loop"
+)
+
+const someView = "GET /view HTTP/1.1\r\nHost: h\r\nX-Trace-Id: a\r\nX-Qos: view\r\nX-Expires-In: 900m\r\n\r\n"
+
+// A request that lies behind another one was written when its last byte came, not when it is taken.
+func TestWrittenBehindAnother(t *testing.T) {
+	l := NewLinks(1).Add(1, 0)
+	l.Feed(ms(100), []byte(someView+someView[:10]))
+	l.Feed(ms(400), []byte(someView[10:]+someView))
+	for i, want := range []time.Duration{ms(100), ms(400), ms(400)} {
+		if _, whole := l.Next(someClasses); !whole {
+			t.Fatalf("request %d is not whole", i)
+		}
+		if got := l.Written(); got != want {
+			t.Errorf("request %d was written at %v, want %v", i, got, want)
+		}
+		if got := l.Left(ms(1000), ms(900)); got != want+ms(900)-ms(1000) {
+			t.Errorf("request %d: %v left", i, got)
+		}
+	}
+}
+
+// What is read after the connection was not read for a while was written since then, until all of it is taken.
+func TestWrittenWhileUnread(t *testing.T) {
+	var a arrivals
+	a.add(ms(10), 100)
+	a.stop(ms(20))
+	a.stop(ms(25))
+	a.add(ms(500), loop.ReadSize)
+	a.add(ms(501), 1000) // it may be a short read
+	a.add(ms(503), 1000)
+	at := func(offset int64) time.Duration { b := a; return b.writtenAt(offset) }
+	if got := at(a.fed); got != ms(20) {
+		t.Errorf("written at %v, want when reading stopped", got)
+	}
+	a.add(ms(600), 10)
+	if got := at(a.fed); got != ms(600) {
+		t.Errorf("written at %v, want now: all was taken before", got)
+	}
+	if got := at(50); got != ms(10) {
+		t.Errorf("the first bytes were written at %v", got)
+	}
+}
+
+// The system's buffer holds so much: what is read after that much was written later.
+func TestWrittenBehindAFullBuffer(t *testing.T) {
+	var a arrivals
+	a.stop(ms(0))
+	for i := range 3 * mostUnread / loop.ReadSize {
+		a.add(ms(1000+100*i), loop.ReadSize)
+	}
+	if got := a.writtenAt(a.fed); got < ms(1000) {
+		t.Errorf("written at %v, though three buffers were read since", got)
+	}
+}
+
+// A connection's marks are bounded, and err only to the client's gain.
+func TestMarksAreBounded(t *testing.T) {
+	var a arrivals
+	for i := range 10_000 {
+		a.add(ms(10*i), 1)
+	}
+	if len(a.marks) > mostMarks {
+		t.Errorf("%d marks", len(a.marks))
+	}
+	for _, offset := range []int64{1, 5000, 9999, 10_000} {
+		b := a
+		if got := b.writtenAt(offset); got > ms(int(10*(offset-1))) {
+			t.Errorf("byte %d was written at %v", offset, got)
+		}
+	}
+}
+
+// While a body comes its client's time has not begun; once all of it has come, or may have, it has.
+func TestLeftOfAStream(t *testing.T) {
+	l := NewLinks(1).Add(1, 0)
+	raw := halfBid(300<<10, 300<<10)
+	l.Feed(ms(10), raw[:100<<10])
+	if asked, whole := l.Next(someClasses); !whole || !asked.Large {
+		t.Fatal("not taken as a stream")
+	}
+	l.Begin()
+	if got := l.Left(ms(500), ms(900)); got != ms(900) {
+		t.Errorf("%v left of a client that has more to send", got)
+	}
+	l.Stop(ms(500))
+	if got := l.Left(ms(700), ms(900)); got != ms(700) {
+		t.Errorf("%v left of a client whose last byte may lie unread", got)
+	}
+	l.Resume(ms(700))
+	var whole bytes.Buffer
+	for _, part := range [][]byte{raw[100<<10 : 200<<10], raw[200<<10:]} {
+		l.Feed(ms(700), part)
+		piece, _, _ := l.Pieces()
+		whole.Write(piece)
+	}
+	if got := l.Written(); got != ms(500) {
+		t.Errorf("written at %v, want when reading stopped", got)
+	}
+}
--- a/internal/clients/link.go
+++ b/internal/clients/link.go
@@ -60,6 +60,7 @@
 	queue    *queue        // that it stands in
 	before   *Link
 	after    *Link
+	arrivals arrivals
 	reader   http1.Reader
 	large    *Asked // the request under way, whose body is too large to be held
 }
@@ -67,6 +68,7 @@
 // Feed takes what the client wrote.
 func (l *Link) Feed(now time.Duration, data []byte) {
 	l.heard = now
+	l.arrivals.add(now, len(data))
 	l.reader.Feed(data)
 }
 
--- a/internal/gateway/fromclients.go
+++ b/internal/gateway/fromclients.go
@@ -228,7 +228,7 @@
 		g.reply(l, clients.Taken(keep))
 		return
 	}
-	if reason, refused := g.turnsAway(asked.Query.Patience); refused {
+	if reason, refused := g.turnsAway(l.Left(g.now, asked.Query.Patience)); refused {
 		g.settle(asked.Query.Class.Name, throttled)
 		g.traceRefused(asked.Query.ID, reason, g.cfg.Settings.Config.MaxRetryAfter)
 		l.Upload = asked.Large
@@ -239,7 +239,7 @@
 	g.untimeClient(l)
 	read := asked.Query
 	g.nextID++
-	q := newQuery(read, g.nextID, l.Conn, g.now)
+	q := newQuery(read, g.nextID, l, g.now)
 	g.queries[q.id] = q
 	g.open[read.ID] = true
 	l.Busy, l.Query = true, q.id
@@ -250,17 +250,19 @@
 	}
 	g.told = true
 	g.module.Request(g.now, thymebend.Request{ID: q.id, Class: read.Class.Place, Patience: read.Patience,
-		Repeat: read.Repeat})
+		Repeat: read.Repeat, Waited: g.now + read.Patience - q.deadline})
 }
 
-// turnsAway reports whether a request is refused before the module hears of it, and why.
-func (g *Gateway) turnsAway(patience time.Duration) (refusalReason, bool) {
+// turnsAway reports whether a request is refused before the module hears of it, and why. left is what its client has left.
+func (g *Gateway) turnsAway(left time.Duration) (refusalReason, bool) {
 	switch {
+	case left <= 0:
+		return refusedOver, true
 	case len(g.queries) >= g.cfg.Settings.Gateway.MostOpen:
 		return refusedTooMany, true
 	case g.crowded():
 		return refusedCrowded, true
-	case g.tooLate(patience):
+	case g.tooLate(left):
 		return refusedTooLate, true
 	}
 	return 0, false
--- a/internal/gateway/fromservers.go
+++ b/internal/gateway/fromservers.go
@@ -53,7 +53,7 @@
 		// The head goes alone: nothing of the body is lost if the link turns out to be dead.
 		g.notices = append(g.notices, notice{exec: x})
 		g.setTimer(timerExecution, x.id, g.now+standsFor)
-		g.ask(loop.Effect{Op: op, Conn: x.link.Conn, Data: servers.AppendHead(nil, q.Message, q.up.length, q.Patience)})
+		g.ask(loop.Effect{Op: op, Conn: x.link.Conn, Data: servers.AppendHead(nil, q.Message, q.up.length, g.leftOf(q))})
 		return
 	}
 	data := servers.AppendRequest(nil, x.query.Message, x.until-g.now)
--- a/internal/gateway/guarded.go
+++ b/internal/gateway/guarded.go
@@ -6,7 +6,6 @@
 	"thymebend"
 	"thymebend/internal/clients"
 	"thymebend/internal/guard"
-	"thymebend/internal/loop"
 )
 
 // Every effect that a rule of the platform bounds goes through this file, where internal/guard has the last word: attempts,
@@ -16,13 +15,21 @@
 const unwritten = -1
 
 // newQuery is a request that is taken now, with the rules of its class as they are now.
-func newQuery(read clients.Query, id thymebend.RequestID, client loop.Conn, now time.Duration) *query {
-	deadline := now + read.Patience
+func newQuery(read clients.Query, id thymebend.RequestID, l *clients.Link, now time.Duration) *query {
+	deadline := now + l.Left(now, read.Patience)
 	class := read.Class.Rules
-	return &query{Query: read, id: id, client: client, deadline: deadline,
+	return &query{Query: read, id: id, client: l.Conn, deadline: deadline,
 		rules: guard.Request{ID: read.ID, Effect: class.Effect, Group: class.Group, Window: class.Window, Deadline: deadline}}
 }
 
+// leftOf is what the client of a request with a large body has left.
+func (g *Gateway) leftOf(q *query) time.Duration {
+	if l := g.links.ByConn[q.client]; l != nil {
+		return l.Left(g.now, q.Patience)
+	}
+	return q.deadline - g.now
+}
+
 // holdsBack decides whether an attempt may not be written now, and how it ends then. Time has passed since the module decided:
 // its host may have left, its window or its client's time may be over.
 func (g *Gateway) holdsBack(x *execution) (end End, held bool) {
--- a/internal/gateway/stopped_test.go
+++ b/internal/gateway/stopped_test.go
@@ -51,3 +51,56 @@
 		t.Errorf("an error or a close %v after the stop (%v)", took, heard)
 	}
 }
+
+// A client's time runs from its own last byte, though that is read behind another request or while the body waits for a host.
+func TestTimeRunsFromTheClientsLastByte(t *testing.T) {
+	r := newRig(t, "subscribe", object(1, true, entry(1, "up", 0)))
+	c := loop.Conn(1<<63 + 50)
+	ask := func(id string) []byte {
+		return []byte("GET /view HTTP/1.1\r\nHost: h\r\nX-Trace-Id: " + id + "\r\nX-Qos: view\r\nX-Expires-In: 2000m\r\n\r\n")
+	}
+	r.step(loop.Event{Kind: loop.Accepted, Conn: c, Via: loop.Listener})
+	r.step(loop.Event{Kind: loop.Data, Conn: c, Data: append(ask("a"), ask("b")...)})
+	r.turn()
+	host := r.connecting(hostAddr(1))
+	r.connected(host)
+	r.pass(300 * time.Millisecond)
+	r.answer(host, "200 OK")
+	r.step(loop.Event{Kind: loop.Flushed, Conn: c})
+	r.turn()
+	if !bytes.Contains(r.written[host], []byte("X-Expires-In: 1700m")) {
+		t.Errorf("the second request tells its host %q; its client got %q", r.written[host], r.written[c])
+	}
+}
+
+// A large request that its gateway has whole, and holds, is no fresher for its client when it reaches a host.
+func TestTimeOfALargeRequestRunsWhileItWaits(t *testing.T) {
+	r := newRig(t, "subscribe", object(1, true))
+	r.request(100_000, 70_000)
+	c := r.clients
+	r.step(loop.Event{Kind: loop.Readable, Conn: c}) // more of it lies there, and is not read
+	w := r.watch()
+	r.pass(600 * time.Millisecond)
+	r.line(w, object(2, false, entry(1, "up", 0)))
+	r.pass(50 * time.Millisecond)
+	host := r.connecting(hostAddr(1))
+	r.connected(host)
+	r.step(loop.Event{Kind: loop.Flushed, Conn: host})
+	r.step(loop.Event{Kind: loop.Data, Conn: c, Data: make([]byte, 30_000)})
+	r.step(loop.Event{Kind: loop.Flushed, Conn: host})
+	r.step(loop.Event{Kind: loop.Flushed, Conn: host})
+	if took, answered := r.answeredWithin(c, 3*time.Second); !answered || took > 1400*time.Millisecond {
+		t.Errorf("answered %v after its last byte reached the host (%v), 1.35 s of 2 s are left", took, answered)
+	}
+}
+
+// answeredWithin lets time pass until a client has an answer, and reports how long that took.
+func (r *rig) answeredWithin(c loop.Conn, most time.Duration) (time.Duration, bool) {
+	r.t.Helper()
+	for from := r.now; r.now < from+most; r.pass(10 * time.Millisecond) {
+		if bytes.Contains(r.written[c], []byte("HTTP/1.1 ")) {
+			return r.now - from, true
+		}
+	}
+	return most, false
+}
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -15,6 +15,7 @@
 	refusedTooMany                // as many requests are open as the settings allow
 	refusedCrowded                // requests hold nearly all client connections
 	refusedTooLate                // it could still be in work at SIGKILL
+	refusedOver                   // its client's time was over before it was taken
 	refusalReasons                // how many there are
 )
 
@@ -28,6 +29,8 @@
 		return "crowded"
 	case refusedTooLate:
 		return "too late in a stop"
+	case refusedOver:
+		return "over"
 	}
 	return "unknown"
 }
--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -14,11 +14,12 @@
 
 // upload is a request's body on its way from the client to a host, one piece at a time.
 type upload struct {
-	length int64      // -1: in chunks
-	x      *execution // whose host has the head; nil until then
-	busy   bool       // a piece is not yet written out
-	spent  bool       // a part has left for a host: it cannot be sent again
-	whole  bool       // the last piece has been taken from the client
+	length int64         // -1: in chunks
+	x      *execution    // whose host has the head; nil until then
+	busy   bool          // a piece is not yet written out
+	spent  bool          // a part has left for a host: it cannot be sent again
+	whole  bool          // the last piece has been taken from the client
+	sent   time.Duration // with whole: when the client had written its last byte, at the earliest
 }
 
 // beginUpload has a link wait, with the first part of a body, until the module has chosen a host. The link is read no further
@@ -32,7 +33,7 @@
 // be sent on for one who has left.
 func (g *Gateway) mute(l *clients.Link) {
 	if !l.Muted {
-		l.Muted = true
+		l.Stop(g.now)
 		g.log.Debug().Uint64("link", uint64(l.Conn)).Msg("client link is read no further for now")
 		g.ask(loop.Effect{Op: loop.Mute, Conn: l.Conn, Leaving: true})
 	}
@@ -71,7 +72,7 @@
 	}
 	up.spent, up.whole, up.busy = up.spent || len(piece) > 0, done, true
 	if done {
-		l.Upload = false
+		l.Upload, up.sent = false, l.Written()
 		g.untimeClient(l)
 	}
 	g.unmute(l)
@@ -96,10 +97,10 @@
 		g.pumpUpload(x.query)
 		return
 	}
-	// The last byte is written: from here on the host works, and the client waits.
+	// The last byte is written: from here on the host works. The client has waited since its own last byte.
 	x.link.Phase = servers.Awaiting
 	g.relayed++
-	x.began, x.until = g.now, g.now+x.query.Patience
+	x.began, x.until = g.now, up.sent+x.query.Patience
 	x.query.deadline, x.query.rules.Deadline = x.until, x.until
 	g.setTimer(timerExecution, x.id, x.until)
 	g.notices = append(g.notices, notice{exec: x, done: true})
--- a/internal/loop/crowd_test.go
+++ b/internal/loop/crowd_test.go
@@ -80,7 +80,7 @@
 
 // What has come on an urgent connection is told whole before the turn ends, though it is more than one buffer holds.
 func TestALongListIsToldInOneTurn(t *testing.T) {
-	const length = 2*readSize + 1000
+	const length = 2*ReadSize + 1000
 	far, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -11,9 +11,11 @@
 	"golang.org/x/sys/unix"
 )
 
+// ReadSize is how much one read brings at most. A read that brings less has taken all that there was.
+const ReadSize = 64 << 10
+
 // Sizes of one turn of the loop.
 const (
-	readSize    = 64 << 10
 	mostReady   = 256
 	mostAccept  = 64 // sockets accepted before others get a turn
 	backlog     = 1024
@@ -63,7 +65,7 @@
 // New opens the loop.
 func New(clock Clock) (*Loop, error) {
 	l := &Loop{clock: clock, byConn: make(map[Conn]*socket), byFD: make(map[int]*socket), accepted: firstAccepted,
-		timers: timers{byKey: make(map[Timer]*entry)}, buf: make([]byte, readSize),
+		timers: timers{byKey: make(map[Timer]*entry)}, buf: make([]byte, ReadSize),
 		ready: make([]unix.EpollEvent, mostReady)}
 	var err error
 	if l.epoll, err = unix.EpollCreate1(unix.EPOLL_CLOEXEC); err != nil {
--- a/internal/loop/sockets.go
+++ b/internal/loop/sockets.go
@@ -162,7 +162,7 @@
 	}
 	buf := l.buf
 	if l.bufInUse {
-		buf = make([]byte, readSize)
+		buf = make([]byte, ReadSize)
 	}
 	n, passed, err := 0, []Conn(nil), error(nil)
 	if s.unix {
