Answer half requests before SIGKILL may come in a planned end, with a next process too

Ruled out: resting connections, which had gone over; attempts.

Cause: half requests and the end of a connection were timed without regard to SIGKILL, which comes after the longest deadline (3 s at most) and 0.7 s; with a next process stop() never looked at half requests. Change: in a planned end they must be whole 0.3 s before SIGKILL may come, and the wait for a client's close ends with it.

--- a/internal/gateway/fromclients.go
+++ b/internal/gateway/fromclients.go
@@ -115,11 +115,11 @@
 			g.lookAndClose(l)
 		}
 	}
-	patience := clients.WholeWithin
+	until := g.waitUntil(added)
 	if g.closed {
-		patience = clients.LingerFor // its request is on the way, or never comes
+		until = min(until, g.now+clients.LingerFor) // its request is on the way, or never comes
 	}
-	g.timeClient(added, g.now+patience)
+	g.timeClient(added, until)
 }
 
 func (g *Gateway) clientEvent(l *clients.Link, e loop.Event) {
@@ -144,7 +144,7 @@
 		}
 		l.Feed(g.now, e.Data)
 		if l.Upload {
-			g.timeClient(l, l.Until())
+			g.timeClient(l, g.waitUntil(l))
 			g.pumpUpload(g.queries[l.Query])
 			return
 		}
@@ -197,7 +197,7 @@
 			l.Began = g.now
 		}
 		l.Timed = true
-		g.timeClient(l, l.Until())
+		g.timeClient(l, g.waitUntil(l))
 	}
 	if l.AwaitsContinue() {
 		g.write(l.Conn, clients.Continue())
@@ -311,7 +311,7 @@
 		l.Ended = true
 		g.unmute(l)
 		g.ask(loop.Effect{Op: loop.Shutdown, Conn: l.Conn})
-		g.timeClient(l, g.now+clients.LingerFor)
+		g.timeClient(l, g.lingerUntil())
 		return
 	}
 	g.unmute(l)
@@ -361,14 +361,14 @@
 		g.dropClient(l, EndClientSlow)
 	case l.Upload && !l.Incomplete():
 		g.timeClient(l, g.now+clients.StreamPause) // it is the host that is waited for
-	case l.Upload && g.now < l.Until():
-		g.timeClient(l, l.Until())
+	case l.Upload && g.now < g.waitUntil(l):
+		g.timeClient(l, g.waitUntil(l))
 	case l.Upload:
 		g.traceIncomplete(l)
 		g.turnAway(g.queries[l.Query], l, clients.TooSlow())
 	case l.Busy:
-	case l.Pending() && g.now < l.Until():
-		g.timeClient(l, l.Until())
+	case l.Pending() && g.now < g.waitUntil(l):
+		g.timeClient(l, g.waitUntil(l))
 	case l.Pending():
 		l.Closing = true
 		g.traceIncomplete(l)
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -19,6 +19,9 @@
 	killAfter = 700 * time.Millisecond
 )
 
+// endBeforeKill is what the end of a connection takes before SIGKILL: the answer to half a request, and the wait for its client's close.
+const endBeforeKill = 300 * time.Millisecond
+
 // killMargin is what a final answer and its way to the client take, on a busy processor.
 const killMargin = 100 * time.Millisecond
 
@@ -35,6 +38,11 @@
 	g.stopping = true
 	g.killAt = g.now + min(mostGrace, g.longest()) + killAfter - killMargin
 	g.quitFleet(true)
+	for _, l := range g.links.InOrder() {
+		if l.Incomplete() {
+			g.timeClient(l, g.waitUntil(l))
+		}
+	}
 	if g.heirTakes {
 		// The next process takes clients, and the links after their answers: there is no one to wait for.
 		g.closed, g.restless = true, true
@@ -55,6 +63,23 @@
 	return g.closed && !g.heirTakes && g.now+patience > g.killAt
 }
 
+// waitUntil is the time by which the request that is coming must be whole, or go on. In a planned end half a request is answered
+// before SIGKILL, so that the process can end by itself.
+func (g *Gateway) waitUntil(l *clients.Link) time.Duration {
+	if g.stopping {
+		return min(l.Until(), g.killAt-endBeforeKill)
+	}
+	return l.Until()
+}
+
+// lingerUntil is the time until which the end of a connection waits for its client's own.
+func (g *Gateway) lingerUntil() time.Duration {
+	if g.stopping {
+		return min(g.now+clients.LingerFor, max(g.now, g.killAt))
+	}
+	return g.now + clients.LingerFor
+}
+
 // closeListener takes what still waits at the listener, then closes it and the idle client links.
 func (g *Gateway) closeListener() {
 	g.closed = true
@@ -68,8 +93,7 @@
 		switch {
 		case l.Busy:
 			l.Closing = true
-		case l.Pending():
-			g.timeClient(l, min(l.Until(), g.now+clients.LingerFor))
+		case l.Pending(): // it has its time
 		default:
 			g.lookAndClose(l)
 		}
--- a/internal/gateway/stopped_test.go
+++ b/internal/gateway/stopped_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"strings"
 	"testing"
 	"time"
 
 	"thymebend/internal/clients"
+	"thymebend/internal/handover"
 	"thymebend/internal/loop"
 )
 
@@ -52,6 +54,28 @@
 	}
 }
 
+// In a planned end half a request is answered before SIGKILL may come, however soon that is, so that the process can end by itself.
+func TestHalfRequestsAreAnsweredBeforeSIGKILL(t *testing.T) {
+	for name, text := range map[string]string{"a head": halfRequest, "a head, with a next process": halfRequest,
+		"a streamed body": "POST /bid HTTP/1.1\r\nHost: h\r\nX-Trace-Id: a\r\nX-Qos: bid\r\nX-Expires-In: 700m\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("x", 70_000)} {
+		r := newRig(t, "subscribe", object(1, true, entry(1, "up", 0)))
+		for i := range r.g.cfg.Settings.Config.Classes {
+			r.g.cfg.Settings.Config.Classes[i].Deadline = 900 * time.Millisecond
+		}
+		c := loop.Conn(1<<63 + 50)
+		r.step(loop.Event{Kind: loop.Accepted, Conn: c, Via: loop.Listener})
+		r.step(loop.Event{Kind: loop.Data, Conn: c, Data: []byte(text)})
+		if strings.HasSuffix(name, "next process") {
+			r.g.heir, r.g.heirTakes = &handover.Link{Conn: 1<<63 + 90}, true
+		}
+		r.step(loop.Event{Kind: loop.Stop})
+		const kill = 1600 * time.Millisecond // the longest deadline and 0.7 s
+		if took, heard := r.answeredWithin(c, 2*clients.OwedWithin); !heard || took > kill-50*time.Millisecond {
+			t.Errorf("%s: an answer %v after the stop (%v), SIGKILL may come after %v", name, took, heard, kill)
+		}
+	}
+}
+
 // A client's time runs from its own last byte, though that is read behind another request or while the body waits for a host.
 func TestTimeRunsFromTheClientsLastByte(t *testing.T) {
 	r := newRig(t, "subscribe", object(1, true, entry(1, "up", 0)))
--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -26,7 +26,7 @@
 // once more of the body has come: until then a client that has stopped can be told from one that waits.
 func (g *Gateway) beginUpload(q *query, l *clients.Link) {
 	q.up = &upload{length: l.Begin()}
-	g.timeClient(l, l.Until())
+	g.timeClient(l, g.waitUntil(l))
 }
 
 // mute reads a link no further. Its client's end is still told, though it lies behind what is not read: nothing may
