Draw random drills of 10 to 40 gateways with faults that overlap, and have clients stop in drills

No drill had clients that stop, and none drew its faults.

Drills get [stopped_clients] and two rules: a stopped client is heard within 3 s, and no guard holds anything back.

--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -70,6 +70,7 @@
 	Compare  compareCmd  `cmd:"" help:"Write one page that compares two runs."`
 	Seeds    seedsCmd    `cmd:"" help:"Play seeded fault runs of the whole gateway on a virtual clock."`
 	Drill    drillCmd    `cmd:"" help:"Start several gateways with relays between them, break paths and processes, and hold the rules."`
+	Soak     soakCmd     `cmd:"" help:"Play random drills of 10 to 40 gateways with faults that overlap."`
 	Shares   sharesCmd   `cmd:"" help:"Compare ways to divide hosts among gateways."`
 	Scale    scaleCmd    `cmd:"" help:"Play the control of a whole fleet at its full size on the virtual clock."`
 	View     viewCmd     `cmd:"" help:"Measure the fleet's view of itself on the virtual clock."`
--- a/internal/lab/experiment/rig.go
+++ b/internal/lab/experiment/rig.go
@@ -51,6 +51,9 @@
 // Mark notes something for the report.
 func (h *Handles) Mark(format string, args ...any) { h.w.mark(format, args...) }
 
+// Front is where clients find a gateway.
+func (h *Handles) Front(n int) string { return h.w.gateways[n].front }
+
 // Kill ends a gateway's process as kill -9 does.
 func (h *Handles) Kill(n int) { h.w.kill(h.w.gateways[n]) }
 
