Give a rig's hosts an address of their own, and end a host whose port was taken

Cause: restart overwrote the door's listener with nil when its port was taken; hosts listened on 127.0.0.1, where outgoing connections take ports while a host is down. Change: a door keeps its closed listener; a rig's hosts listen at an address that nobody calls from (Rig.HostAddress). Measured: TestRestartOnATakenPort panics without the change.

--- a/internal/lab/drill/network.go
+++ b/internal/lab/drill/network.go
@@ -57,7 +57,7 @@
 }
 
 // rigAddress is an address of the loopback that no other rig uses, on this machine or in this process: a port that a process or a
-// relay gives up for a moment must not become another one's. Processes (n is 0) and relays (n is 1) have one each. The directory
+// relay gives up for a moment must not become another one's. Processes (n is 0), relays (n is 1) and hosts (n is 2) have one each. The directory
 // that a rig writes to is its own.
 func rigAddress(dir string, n int) netip.Addr {
 	h := xxh3.HashSeed([]byte(dir), uint64(os.Getpid()))
--- a/internal/lab/drill/rig.go
+++ b/internal/lab/drill/rig.go
@@ -214,6 +214,9 @@
 // Listen implements experiment.Rig.
 func (r *rig) Listen(string) (string, error) { return r.freeTCP() }
 
+// HostAddress implements experiment.Rig.
+func (r *rig) HostAddress() string { return rigAddress(r.dir, 2).String() }
+
 // Late implements experiment.Rig.
 func (r *rig) Late(gateway string) bool {
 	for _, n := range r.file.Fleet.Late {
--- a/internal/lab/experiment/rig.go
+++ b/internal/lab/experiment/rig.go
@@ -17,6 +17,9 @@
 	Path(from, to, addr string) (string, error)
 	// Listen returns where a gateway is to listen.
 	Listen(gateway string) (string, error)
+	// HostAddress is the address, without a port, at which hosts listen. Nobody else may listen there or call from there: a host that
+	// restarts needs its ports again.
+	HostAddress() string
 	// Environment is what a process of a gateway gets beside the usual, each process anew.
 	Environment(gateway string) ([]string, error)
 	// Late tells whether a gateway is not there from the start.
--- a/internal/lab/experiment/world.go
+++ b/internal/lab/experiment/world.go
@@ -112,7 +112,10 @@
 	}
 	for _, via := range vias {
 		at := addrs[via]
-		if at == "" || w.rig != nil { // a rig's paths have addresses of their own
+		switch {
+		case w.rig != nil: // a rig's paths have addresses of their own
+			at = net.JoinHostPort(w.rig.HostAddress(), "0")
+		case at == "":
 			at = "127.0.0.1:0"
 		}
 		if at, err = host.Open(via, at); err == nil {
--- a/internal/lab/standin/host.go
+++ b/internal/lab/standin/host.go
@@ -460,10 +460,11 @@
 	}
 	h.model = model
 	for _, d := range h.doors {
-		if d.ln, err = net.Listen("tcp", d.addr); err != nil {
-			return fmt.Errorf("host %s: %w", h.Name, err)
+		ln, err := net.Listen("tcp", d.addr)
+		if err != nil {
+			return fmt.Errorf("host %s: %w", h.Name, err) // the door keeps its old listener, which is closed
 		}
-		ln := d.ln
+		d.ln = ln
 		h.served.Go(func() { h.accept(d, ln) })
 	}
 	return nil
--- a/internal/lab/standin/standin_test.go
+++ b/internal/lab/standin/standin_test.go
@@ -377,3 +377,27 @@
 		t.Error("what the agent has does not count as told")
 	}
 }
+
+// A host whose port was taken while it was down says so, and can be ended all the same.
+func TestRestartOnATakenPort(t *testing.T) {
+	h, err := NewHost(fleet.Spec{Name: "h", Cores: 1, Speed: 1, Slots: 1, Queue: 1}, NewClock(), Options{Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	at, err := h.Open("g", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := h.SetMode(Refuse); err != nil {
+		t.Fatal(err)
+	}
+	taken, err := net.Listen("tcp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	if err := h.SetMode(Up); err == nil {
+		t.Error("it is said to be up, without its port")
+	}
+	h.Close()
+}
