Tell of changed paths without the network's lock, which all relays of a drill need

Traced in the log of gateway-28: 408 after 2.5005 s, its client's end 0.55 s later. All of them waited until the same moment, in which a path's fault began. Cause: network.set told of changes under the lock that every relay takes for each piece; the history that is told was held by views.Judge, which takes half a second with 38 gateways. So all streams of the rig stood. Ruled out: the gateway, whose timer was right. Change: changes are told after the lock, with the time at which they happened. Soaks log at debug, so that a finding has its trace. TestPathsCarryWhileAChangeIsNoted stands for ever without the change.

--- a/internal/lab/drill/network.go
+++ b/internal/lab/drill/network.go
@@ -38,8 +38,8 @@
 	ends   map[string][]*net.UDPAddr // where datagrams for a name go
 	rand   *rand.Rand
 	served sync.WaitGroup
-	change func(from, to string, c condition) // told of every change
-	shut   func(from, to string)              // told of every connection that found nobody
+	change func(pathChange)      // told of every change, without the lock: it may take long
+	shut   func(from, to string) // told of every connection that found nobody
 }
 
 // way is one ordered pair's path.
@@ -51,7 +51,14 @@
 	lost     atomic.Uint64
 }
 
-func newNetwork(base Path, ip netip.Addr, seed uint64, change func(string, string, condition), shut func(string, string)) *network {
+// pathChange is what became of a path, and when.
+type pathChange struct {
+	from, to string
+	now      condition
+	at       time.Time
+}
+
+func newNetwork(base Path, ip netip.Addr, seed uint64, change func(pathChange), shut func(string, string)) *network {
 	return &network{base: base, ip: ip, ways: make(map[[2]string]*way), pairs: make(map[[2]string]*pair), doors: make(map[[3]string]*door),
 		ends: make(map[string][]*net.UDPAddr), rand: rand.New(rand.NewPCG(seed, 0x9e7)), change: change, shut: shut}
 }
@@ -119,6 +126,13 @@
 
 // set puts a fault in force or takes it away.
 func (n *network) set(f *Fault, on bool) {
+	for _, c := range n.put(f, on) {
+		n.change(c)
+	}
+}
+
+// put does so and returns the paths that changed.
+func (n *network) put(f *Fault, on bool) (changes []pathChange) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if on {
@@ -139,8 +153,9 @@
 		w.now.Store(&c)
 		close(w.over)
 		w.over = make(chan bool)
-		n.change(w.from, w.to, c)
+		changes = append(changes, pathChange{w.from, w.to, c, time.Now()})
 	}
+	return changes
 }
 
 func (n *network) chance(p float64) bool {
--- a/internal/lab/drill/network_test.go
+++ b/internal/lab/drill/network_test.go
@@ -15,7 +15,7 @@
 
 func testNet(t *testing.T) *network {
 	t.Helper()
-	n := newNetwork(Path{}, rigAddress(t.TempDir(), 1), 1, func(string, string, condition) {}, func(string, string) {})
+	n := newNetwork(Path{}, rigAddress(t.TempDir(), 1), 1, func(pathChange) {}, func(string, string) {})
 	t.Cleanup(n.close)
 	return n
 }
@@ -61,12 +61,30 @@
 
 func fault(do string, from, to []string) *Fault { return &Fault{Do: do, From: from, To: to} }
 
+// Whoever is told of a change may take long: what is under way on other paths is carried meanwhile.
+func TestPathsCarryWhileAChangeIsNoted(t *testing.T) {
+	noting, noted := make(chan bool), make(chan bool)
+	n := newNetwork(Path{}, rigAddress(t.TempDir(), 1), 1, func(pathChange) { close(noting); <-noted }, func(string, string) {})
+	t.Cleanup(n.close)
+	t.Cleanup(func() { close(noted) })
+	ear := udp(t, n, "b")
+	mouth := udp(t, n, "a")
+	at := between(t, n, "a", "b")
+	between(t, n, "c", "b")
+	go n.set(fault("net-cut", []string{"c"}, []string{"b"}), true)
+	<-noting
+	send(t, mouth, at, "hello")
+	if got, _ := get(t, ear, soon); got != "hello" {
+		t.Errorf("got %q while a change was noted", got)
+	}
+}
+
 // Rigs of one process have addresses of their own: a port that one gives up for a moment must not become the other's.
 func TestRigsHaveAddressesOfTheirOwn(t *testing.T) {
 	seen := make(map[netip.Addr]bool)
 	for range 20 {
 		dir := t.TempDir()
-		for n := range 2 {
+		for n := range 3 {
 			at := rigAddress(dir, n)
 			if seen[at] || !at.IsLoopback() || at != rigAddress(dir, n) {
 				t.Errorf("%v", at)
--- a/internal/lab/drill/rig.go
+++ b/internal/lab/drill/rig.go
@@ -358,17 +358,19 @@
 const slowest = 100 * time.Millisecond
 
 // changed is told of every path that changes.
-func (r *rig) changed(from, to string, c condition) {
+func (r *rig) changed(change pathChange) {
+	from, to, c := change.from, change.to, change.now
+	at := r.now() - time.Since(change.at) // the history may be in use for a while
 	a, fromGateway := r.index[from]
 	b, toGateway := r.index[to]
 	bad := c.cut || c.stall
 	switch {
 	case fromGateway && toGateway:
-		r.history.Path(a, b, views.PathAt{At: r.now(), Cut: bad || c.Delay.Duration+c.Jitter.Duration > slowest, Loss: c.Loss})
+		r.history.Path(a, b, views.PathAt{At: at, Cut: bad || c.Delay.Duration+c.Jitter.Duration > slowest, Loss: c.Loss})
 	case from == experiment.NodeClients && toGateway:
-		r.excuse(b, bad || c.Delay.Duration > 0 || c.Loss > 0)
+		r.excuse(b, at, bad || c.Delay.Duration > 0 || c.Loss > 0)
 	case to == experiment.NodeClients && fromGateway:
-		r.excuse(a, bad || c.Delay.Duration > 0 || c.Loss > 0)
+		r.excuse(a, at, bad || c.Delay.Duration > 0 || c.Loss > 0)
 	}
 }
 
@@ -382,16 +384,16 @@
 }
 
 // excuse begins or ends a time in which clients of a gateway may wait in vain.
-func (r *rig) excuse(g int, on bool) {
+func (r *rig) excuse(g int, at time.Duration, on bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i := range r.excuses {
 		if e := &r.excuses[i]; e.gateway == g && e.to == 0 && !on {
-			e.to = r.now()
+			e.to = at
 		}
 	}
 	if on {
-		r.excuses = append(r.excuses, excuse{gateway: g, from: r.now()})
+		r.excuses = append(r.excuses, excuse{gateway: g, from: at})
 	}
 }
 
--- a/internal/lab/soak/draw.go
+++ b/internal/lab/soak/draw.go
@@ -109,7 +109,7 @@
 	d.line("name = \"soak-%d\"", seed)
 	d.line("title = \"Random faults that overlap, seed %d\"", seed)
 	d.line("seed = %d", seed%(1<<62)+1)
-	d.line("\n[gateways]\ncount = %d\nsockets = %d\nspread = %v", d.gateways, d.between(256, 600), d.draws.IntN(2) == 0)
+	d.line("\n[gateways]\ncount = %d\nlog = \"debug\"\nsockets = %d\nspread = %v", d.gateways, d.between(256, 600), d.draws.IntN(2) == 0)
 	d.line("\n[discovery]\nlag = %q", d.span(0, 400))
 	d.line("\n[clients]\nretries = 1\nconnections = %d\nmarks_retry = true\nslow_share = 0.05\nslow_for = \"1500ms\"\nsilent = %d", 6*d.gateways, d.between(0, 2*d.gateways))
 	d.line("\n[stopped_clients]\nevery = %q\n", d.span(20, 120))
