Give up a host that takes nothing of a body after 2.5 s, as its client is owed an error in 3 s

While a host takes nothing of a streamed body its client is not read, so one that stops there can't be told from one that waits; the write was given 10 s (standsFor).

--- a/cmd/thymebend/stopped_test.go
+++ b/cmd/thymebend/stopped_test.go
@@ -198,6 +198,24 @@
 			t.Errorf("exit code %d", code)
 		}
 	})
+	t.Run("behind a host that takes nothing", func(t *testing.T) {
+		t.Parallel()
+		h := &host{name: "s-1", ln: listen(t)}
+		held := make(chan bool)
+		t.Cleanup(func() { close(held) })
+		go each(h.ln, func(net.Conn) { <-held }) // its machine takes what its buffers hold
+		g := start(t, map[string]any{"settings": longDeadlines()}, h)
+		c := g.dial()
+		body := make([]byte, 64<<10)
+		fmt.Fprint(c, large("stuck", "size=2", 30<<20))
+		for _, err := c.Write(body); err == nil; _, err = c.Write(body) { // until nothing more is taken: there it stops
+			_ = c.SetWriteDeadline(time.Now().Add(200 * time.Millisecond))
+		}
+		stopped := time.Now()
+		if status, _, _ := answer(c); status < 400 || time.Since(stopped) > owedWithin {
+			t.Errorf("%d after %v", status, time.Since(stopped))
+		}
+	})
 	t.Run("while hosts hang", func(t *testing.T) {
 		t.Parallel()
 		release := make(chan bool)
--- a/internal/gateway/fromservers.go
+++ b/internal/gateway/fromservers.go
@@ -52,7 +52,7 @@
 	if q := x.query; q.up != nil {
 		// The head goes alone: nothing of the body is lost if the link turns out to be dead.
 		g.notices = append(g.notices, notice{exec: x})
-		g.setTimer(timerExecution, x.id, g.now+standsFor)
+		g.setTimer(timerExecution, x.id, g.now+bodyTakenWithin)
 		g.ask(loop.Effect{Op: op, Conn: x.link.Conn, Data: servers.AppendHead(nil, q.Message, q.up.length, g.leftOf(q))})
 		return
 	}
--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -9,9 +9,13 @@
 	"thymebend/internal/servers"
 )
 
-// standsFor is how long a stream may stand still on a host's side: nothing taken of what is written, or nothing sent.
+// standsFor is how long a host may send nothing of an answer that has begun.
 const standsFor = 10 * time.Second
 
+// bodyTakenWithin is how long a host may take nothing of a body that is written to it. Its client is not read meanwhile and may have
+// stopped, which then cannot be told: it is owed an error within clients.OwedWithin whatever its host does.
+const bodyTakenWithin = 2500 * time.Millisecond
+
 // upload is a request's body on its way from the client to a host, one piece at a time.
 type upload struct {
 	length int64         // -1: in chunks
@@ -76,7 +80,7 @@
 		g.untimeClient(l)
 	}
 	g.unmute(l)
-	g.setTimer(timerExecution, up.x.id, g.now+standsFor)
+	g.setTimer(timerExecution, up.x.id, g.now+bodyTakenWithin)
 	g.write(up.x.link.Conn, g.framed(piece, up.length < 0, done))
 }
 
