Call discovery within 5.5 s of its return, however long it was down and whatever it asked for

A change counts as told 6 s after discovery could be reached, whatever is allowed after a refused call. Pacer doubled the interval after six failures up to gateways x 0.2 s, a minute at most, also where a discovery that is down turned calls away at once; Retry-After was heeded up to a minute. After 40 s of 503s one of 300 gateways called up to a minute after the return.

Change: only failures that took 0.5 s and more, which cost discovery a turn, bring the longer intervals; Retry-After is heeded up to 5 s; the module is told when a call that was put off begins (Called), for its age decides which kind of failure it was.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -352,6 +352,7 @@
 	case timerCall:
 		if g.watch == nil && g.moving == nil {
 			g.watch = g.openWatch()
+			g.module.Called(g.now)
 		}
 	case timerHold:
 		g.holdDue()
--- a/internal/hostgroup/watch.go
+++ b/internal/hostgroup/watch.go
@@ -27,8 +27,9 @@
 // listRate is the least at which a long object of the list comes, in bytes a second: so much more time it has.
 const listRate = 64 << 10
 
-// mostRetryAfter bounds what a refusal may ask for.
-const mostRetryAfter = time.Minute
+// mostRetryAfter bounds what a refusal may ask for: a change counts as told 6 s after discovery could be reached, whatever it has asked
+// for, and it may be back at once.
+const mostRetryAfter = 5 * time.Second
 
 // Refusal is an answer of discovery that is not the list.
 type Refusal struct {
--- a/internal/pacing/pacing.go
+++ b/internal/pacing/pacing.go
@@ -31,9 +31,12 @@
 	longInterval = 5500 * time.Millisecond
 	// farInterval is the longest interval of all.
 	farInterval = time.Minute
-	// patientFailures is how many failures in a row leave the interval within longInterval: outages of some twenty
-	// seconds in a fleet that is large.
+	// patientFailures is how many failures in a row that cost the service a turn leave the interval within longInterval.
 	patientFailures = 5
+	// turnTaken is how long a call takes at least that has waited for its turn. One that fails sooner was turned away by a service
+	// that is down or sheds: it cost nothing, says nothing of how many calls the service bears, and must not put off the next
+	// one beyond longInterval, for the service may be back at any moment.
+	turnTaken = 500 * time.Millisecond
 	// mostDoublings bounds the shifts: farInterval is reached before.
 	mostDoublings = 10
 	// endedSpread puts off the call after one that ended: all gateways' answers may have ended together.
@@ -46,11 +49,12 @@
 type Pacer struct {
 	// First is the interval after the first failure; 0 is half of the regular one. It doubles up to the regular one.
 	First    time.Duration
-	failures int
+	failures int // in a row
+	turns    int // of these, that cost the service a turn
 }
 
 // Succeeded notes that a call was answered.
-func (p *Pacer) Succeeded() { p.failures = 0 }
+func (p *Pacer) Succeeded() { p.failures, p.turns = 0, 0 }
 
 // Failed notes a failure and returns the delay until the next call. callers is the size of the fleet, elapsed the time
 // since the call began, and spread and jitter are drawn evenly from 0 to 1.
@@ -60,6 +64,9 @@
 	}
 	interval := p.interval(kind, callers)
 	p.failures++
+	if kind == Overloaded && elapsed >= turnTaken {
+		p.turns++
+	}
 	remaining := fraction(interval, 0.5+jitter/2) - elapsed
 	return max(remaining, fraction(failedSpread, spread))
 }
@@ -75,11 +82,11 @@
 		first = bound / 2
 	}
 	interval := min(first<<min(p.failures, mostDoublings), bound)
-	if kind == Unreachable || p.failures <= patientFailures {
+	if kind == Unreachable || p.turns <= patientFailures {
 		return interval
 	}
 	far := max(bound, min(time.Duration(callers)*callGap, farInterval))
-	return min(interval<<min(p.failures-patientFailures, mostDoublings), far)
+	return min(interval<<min(p.turns-patientFailures, mostDoublings), far)
 }
 
 // regularInterval is the interval that fits a fleet.
--- a/state.go
+++ b/state.go
@@ -273,3 +273,9 @@
 	out.Room = float64(free) / float64(max(1, limits))
 	return out
 }
+
+// Called tells that the call for the list that Watch asked for begins only now, as discovery has asked to be called later.
+func (b *Balancer) Called(now time.Duration) {
+	b.now = now
+	b.askedAt = now
+}
