Take servers' starts on a clock that may be wrong, so that none in slow start is flooded or starved

Need: a machine's wall clock may be stepped by seconds or an hour, and a process may start on a wrong one. A running process is safe: its clock is monotonic. Seen: hosts' born_ms were compared with a clock that begins at the wall clock; an hour ahead a host that started 2 s ago was taken to be 1:00:02 old and got a warm host's load, an hour behind it stayed cold for an hour. Lines: Balancer.coldness, fed by List.

Change: internal/starts, pure, between the list and the module: a start to come shows a clock that is behind; one heard of while the list is followed is 6 s old at most; a first list whose newest start seems over 10 minutes old is not believed to be so.

TestStartsOnAWrongClock fails without the change.

--- a/internal/gateway/fromlist.go
+++ b/internal/gateway/fromlist.go
@@ -160,10 +160,16 @@
 		g.portion.listed = true
 	}
 	g.told = true
-	g.module.List(g.now, kind, news.Entries)
+	g.tellList(kind, news.Entries)
 	return nil
 }
 
+// tellList tells the module news of the list, with starts on this process's clock.
+func (g *Gateway) tellList(kind thymebend.ListKind, entries []thymebend.Server) {
+	g.starts.Believe(g.now, kind, entries)
+	g.module.List(g.now, kind, entries)
+}
+
 // watchAnswered makes the call that is answered first the watch in force. A call to a new address goes on beside the old
 // address's watch.
 func (g *Gateway) watchAnswered(w *hostgroup.Watch) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"thymebend/internal/operators"
 	"thymebend/internal/pacing"
 	"thymebend/internal/servers"
+	"thymebend/internal/starts"
 )
 
 // Timers by kind. Their ids are connections, executions or tokens of the module.
@@ -123,6 +124,7 @@
 	refusals [refusalReasons]uint64
 	retries  uint64 // attempts beyond a request's first
 	guard    guard.Guard
+	starts   starts.Starts // of hosts, on this process's clock
 
 	elder      *handover.Link // the process that served before, while it lives
 	elderHolds int            // descriptors that it needs
@@ -261,7 +263,7 @@
 	if err != nil {
 		g.log.Error().Err(err).Msg("the known list is not usable")
 	}
-	g.module.List(g.now, thymebend.ListCached, news.Entries)
+	g.tellList(thymebend.ListCached, news.Entries)
 }
 
 // socket hands the news of a socket to the peer that it belongs to. A socket that no peer knows was closed.
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -159,7 +159,7 @@
 		return
 	}
 	g.hostsLeft(news.Changed)
-	g.module.List(g.now, thymebend.ListCached, news.Entries)
+	g.tellList(thymebend.ListCached, news.Entries)
 }
 
 // loseElder ends what is between this process and its elder: the elder has gone, or cannot hand over.
--- a/internal/gateway/pushed.go
+++ b/internal/gateway/pushed.go
@@ -69,6 +69,6 @@
 	if len(news.Entries) > 0 {
 		g.hostsLeft(news.Changed)
 		g.told = true
-		g.module.List(g.now, thymebend.ListDelta, news.Entries)
+		g.tellList(thymebend.ListDelta, news.Entries)
 	}
 }
--- a/internal/gateway/told_test.go
+++ b/internal/gateway/told_test.go
@@ -329,3 +329,20 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc)
 }
+
+// A process whose clock begins an hour wrong, either way, gives the module starts that are neither an hour old nor to come.
+func TestStartsOnAWrongClock(t *testing.T) {
+	for _, wrong := range []time.Duration{-time.Hour, 0, time.Hour} {
+		r := newRig(t, "subscribe", object(1, true, entry(1, "up", 0)))
+		w := r.watch()
+		trueNow := r.now + 3*time.Hour
+		r.now = trueNow + wrong
+		r.line(w, object(2, true, entry(1, "up", 0)))
+		r.line(w, object(3, false, entry(2, "up", int((trueNow-2*time.Second).Milliseconds()))))
+		for _, s := range r.g.module.Learned(r.now).Servers {
+			if age := r.now - s.Born; s.Born > 0 && (age < 0 || age > 6*time.Second) {
+				t.Errorf("a clock %v wrong: a server that started 2 s ago is taken to be %v old", wrong, age)
+			}
+		}
+	}
+}
--- a/internal/lab/mutants/main.go
+++ b/internal/lab/mutants/main.go
@@ -85,6 +85,8 @@
 			"		l.Timed = true\n		g.timeClient(l, l.Until())\n", "		l.Timed = true\n"),
 		one("write an attempt after its client's time", "restart-surge", "internal/gateway/guarded.go",
 			"	case g.now >= x.until:\n		return EndNotUp, true\n", ""),
+		one("believe the machine's clock", "clock", "internal/starts/starts.go",
+			"	believed := min(stated+s.lead, now)\n	if s.followed {\n		believed = max(believed, now-heardWithin)\n	}\n", "	believed := stated\n"),
 		one("never watch the agent", "pushed", "internal/gateway/gateway.go", "		defer g.move()\n", ""),
 		one("call a lost agent no more", "pushed", "internal/gateway/fromlist.go",
 			"	case g.watch == nil && g.pushed():\n		g.setTimer(timerMove, 0, g.now+moveAgain)\n", "	case g.watch == nil && g.pushed():\n"),
--- a/internal/lab/virtual/loop.go
+++ b/internal/lab/virtual/loop.go
@@ -74,6 +74,9 @@
 	rounds   uint64
 	silent   *bool
 	onExit   func(error)
+	// ClockError is how far the machine's wall clock was ahead of the true time when the process began. The process's own clock starts
+	// there and is monotonic from then on.
+	ClockError time.Duration
 }
 
 // port is a listening socket.
@@ -396,7 +399,7 @@
 			continue
 		}
 		l.busy = max(l.busy, l.sim.Now()) + l.Cost
-		for _, f := range l.reducer.Step(l.sim.Now(), e) {
+		for _, f := range l.reducer.Step(l.sim.Now()+l.ClockError, e) {
 			l.sim.effect(f)
 			l.do(f)
 		}
@@ -463,7 +466,7 @@
 		l.bind(f)
 		return
 	case loop.SetTimer:
-		l.setTimer(f.Timer, f.At)
+		l.setTimer(f.Timer, f.At-l.ClockError)
 		return
 	case loop.StopTimer:
 		if t := l.byKey[f.Timer]; t != nil {
--- a/internal/lab/virtual/plan.go
+++ b/internal/lab/virtual/plan.go
@@ -63,6 +63,8 @@
 	Pushed     bool    `json:"pushed,omitempty"` // lists come by an agent on each gateway's machine
 	// DeadlineMS is the longest deadline of every class; 0 is the usual ones.
 	DeadlineMS int `json:"deadline_ms,omitempty"`
+	// ClockErrors are how many seconds the machines' wall clocks are ahead at the begin, by gateway.
+	ClockErrors []int `json:"clock_errors_s,omitempty"`
 	// Calls is how discovery works through calls; nil answers each at once.
 	Calls    *CallQueue `json:"calls,omitempty"`
 	Faults   []Fault    `json:"faults"`
@@ -101,6 +103,7 @@
 			"surge", "net-jitter"},
 		stoppedProfile: {"rude-stop", "rude-silent", "rude-leave", "bulk", "surge", "net-split", "net-jitter", "host-hang", "host-drain",
 			"gateway-term", "gateway-kill", "gateway-reload", "gateway-upgrade", "gateway-stillborn"},
+		clockProfile: {"clock-step", "clock-step", "gateway-kill", "gateway-term", "gateway-upgrade", "gateway-reload", "host-cold", "host-replace", "host-down", "discovery-flap", "surge"},
 		"reload":     {"gateway-reload", "host-drain", "host-replace", "discovery-down", "gateway-term"},
 		"everything": slices.Concat(hosts, spoils, gateways, disc, rude, net, []string{"surge", "host-cold", "gateway-reload"}),
 	}
@@ -118,9 +121,13 @@
 // no seed takes it unasked: each goes on playing what it did.
 const stoppedProfile = "stopped-clients"
 
+// clockProfile is machines whose wall clocks are wrong by seconds or an hour when processes begin, while hosts start cold. Taken by no
+// seed unasked, as above.
+const clockProfile = "clock"
+
 // unasked reports whether a seed without a profile may take one.
 func unasked(profile string) bool {
-	return profile != fleetProfile && profile != discoveryLoadProfile && profile != stoppedProfile
+	return profile != fleetProfile && profile != discoveryLoadProfile && profile != stoppedProfile && profile != clockProfile
 }
 
 // Profiles lists the profiles by name.
@@ -172,6 +179,12 @@
 		}
 	}
 	p.Pushed = profile == "pushed"
+	if profile == clockProfile {
+		p.Gateways, p.Cold = 2+rng.IntN(11), rng.IntN(2) == 0
+		for range p.Gateways {
+			p.ClockErrors = append(p.ClockErrors, drawClockError(rng))
+		}
+	}
 	if profile == stoppedProfile {
 		p.DeadlineMS = []int{900, 2500, 3700, 4600, 12000}[rng.IntN(5)]
 	}
@@ -239,7 +252,7 @@
 			switch {
 			case k[:4] == "host":
 				f.Who = rng.IntN(p.Hosts)
-			case k[:4] == "gate", k[:4] == "view", k[:5] == "agent":
+			case k[:4] == "gate", k[:4] == "view", k[:5] == "clock", k[:5] == "agent":
 				f.Who = rng.IntN(p.Gateways)
 			}
 			switch k {
@@ -258,6 +271,8 @@
 				f.ForMS = between(200, 1500)
 			case "discovery-lag":
 				f.Share = float64(between(0, 4000))
+			case "clock-step":
+				f.Share = float64(drawClockError(rng))
 			case "gateway-reload":
 				if rng.IntN(4) == 0 {
 					f.What = "faulty"
@@ -311,6 +326,9 @@
 	return p, nil
 }
 
+// drawClockError is how many seconds a machine's wall clock is ahead.
+func drawClockError(rng *rand.Rand) int { return []int{-3600, 3600, -7, 0}[rng.IntN(4)] }
+
 // fleetFaults are what befalls many at once: every other host replaced within some seconds, seven in ten gateways killed
 // within moments, all hosts of a zone gone for seconds and back cold.
 func (p *Plan) fleetFaults(on map[string]bool, between func(int, int) int) []Fault {
--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -389,6 +389,20 @@
 	}
 }
 
+// Machines whose clocks are an hour or some seconds wrong when processes begin, while hosts start cold. Seed 164 once pushed one over.
+func TestWrongClocksHoldTheRules(t *testing.T) {
+	seeds := []uint64{164}
+	for seed := range uint64(25) {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			holds(t, draw(t, seed, clockProfile))
+		})
+	}
+}
+
 // Seeds that once broke a rule, or a check that was wrong.
 func TestSeedsThatOnceFailedHold(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/lab/virtual/world.go
+++ b/internal/lab/virtual/world.go
@@ -119,6 +119,8 @@
 	stops []time.Duration
 	halts [][2]time.Duration // stopped from, to
 	life  int
+	// clockError is how far the machine's wall clock is ahead now. A process that runs does not notice a step.
+	clockError time.Duration
 
 	process, before process // the one that was started last, and its elder
 }
@@ -257,6 +259,9 @@
 		w.disc.open(n)
 		w.gateways = append(w.gateways, &machine{w: w, n: n, name: gatewayName(n),
 			addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(n), 1 + byte(n>>8)}), 8443)})
+		if n < len(p.ClockErrors) {
+			w.gateways[n].clockError = time.Duration(p.ClockErrors[n]) * time.Second
+		}
 	}
 	switch {
 	case p.Calls != nil:
@@ -386,6 +391,7 @@
 		}
 	})
 	m.loop = l
+	m.loop.ClockError = m.clockError
 	m.loop.Sockets, m.loop.Cost, m.loop.Partial = w.plan.Sockets, time.Duration(w.plan.CostUS)*time.Microsecond, w.plan.Partial
 	m.loop.Listens = func() { m.since = w.sim.Now() }
 	m.loop.Beside = func() int {
@@ -623,6 +629,10 @@
 		}
 	case "discovery-lag":
 		w.disc.lag = msec(int(f.Share))
+	case "clock-step":
+		if f.Who < len(w.gateways) {
+			w.gateways[f.Who].clockError = time.Duration(f.Share * float64(time.Second))
+		}
 	case "gateway-kill", "gateway-term", "gateway-reload", "gateway-upgrade", "gateway-halt", "gateway-stillborn", "gateway-retune":
 		if f.Who >= len(w.gateways) || !w.gateways[f.Who].up || w.gateways[f.Who].left {
 			return
