Sort the errors of system calls by what they are of, and make calls through one set that tests replace

Seen by reading, then by tests that plant the errors: a new connection that cannot be watched (epoll_ctl: ENOMEM) was told to be broken before it was told to have come, and was waited for for good; an error that waits at one new connection (EPROTO, ENETUNREACH and others, accept(2)) rested the listener for 50 ms and closed a client's connection; an interrupted connect counted as refused; an interrupted read was taken for the last look at a resting connection; EMFILE, EADDRNOTAVAIL and the like here counted as failures of hosts.

--- a/internal/gateway/end.go
+++ b/internal/gateway/end.go
@@ -13,6 +13,7 @@
 	EndHostLeft               // the host drains or is gone: nothing was written
 	EndNoRoom                 // no descriptor was left for a link
 	EndUnreached              // the connection was refused or broke while it came up
+	EndLocal                  // this machine has run out of something that a connection needs
 	EndNotUp                  // the connection did not come up in time
 	EndUnsent                 // the connection broke before the last byte was written
 	EndTurnedAway             // the host says that it did not begin
@@ -36,7 +37,7 @@
 // outcome maps an execution's end to what the module is told, and reports whether there is anything to tell.
 func (e End) outcome() (thymebend.Outcome, bool) {
 	switch e {
-	case EndOver, EndWindow:
+	case EndOver, EndWindow, EndLocal:
 		return thymebend.Moot, true
 	case EndHostLeft, EndNoRoom, EndUnreached, EndNotUp, EndUnsent:
 		return thymebend.ConnectFailed, true
@@ -58,7 +59,7 @@
 
 // String is for log lines.
 func (e End) String() string {
-	names := [...]string{"over", "window over", "host left", "no room", "unreached", "not up", "unsent", "turned away", "timed out",
+	names := [...]string{"over", "window over", "host left", "no room", "unreached", "local", "not up", "unsent", "turned away", "timed out",
 		"cut", "garbled", "faulty", "called off", "client gone", "served", "link idle", "answered", "client slow",
 		"list lost", "list silent", "list garbled", "list replaced"}
 	if int(e) < len(names) {
--- a/internal/gateway/fromservers.go
+++ b/internal/gateway/fromservers.go
@@ -115,6 +115,8 @@
 		return
 	}
 	switch {
+	case l.Phase == servers.Connecting && e.Local:
+		g.endExecution(x, EndLocal, nil)
 	case l.Phase == servers.Connecting:
 		g.endExecution(x, EndUnreached, nil)
 	case l.Phase == servers.Writing:
--- a/internal/gateway/stopped_test.go
+++ b/internal/gateway/stopped_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"strings"
 	"testing"
 	"time"
@@ -128,3 +129,22 @@
 	}
 	return most, false
 }
+
+// What this machine has run out of is not put down to the host: it is neither ejected nor counted as failing.
+func TestALocalFailureIsNotTheHosts(t *testing.T) {
+	r := newRig(t, "subscribe", object(1, true, entry(1, "up", 0)))
+	r.watch()
+	for range 12 {
+		r.request(0, 0)
+		r.turn()
+		if c := r.to(hostAddr(1)); c != 0 && len(r.written[c]) == 0 {
+			r.step(loop.Event{Kind: loop.Broken, Conn: c, Err: errors.New("cannot assign requested address"), Local: true})
+			r.closed[c] = true
+			r.turn()
+		}
+		r.pass(20 * time.Millisecond)
+	}
+	if f := r.g.figures(); f.Ends["local"] == 0 || f.OutOfRotation != 0 {
+		t.Errorf("ends %v, %d hosts out of rotation", f.Ends, f.OutOfRotation)
+	}
+}
--- a/internal/loop/datagrams.go
+++ b/internal/loop/datagrams.go
@@ -47,8 +47,7 @@
 		case errors.Is(err, unix.EAGAIN):
 			l.tell(Event{Kind: Drained, Conn: s.conn})
 			return
-		case errors.Is(err, unix.EINTR), errors.Is(err, unix.ECONNREFUSED), errors.Is(err, unix.EHOSTUNREACH),
-			errors.Is(err, unix.ENETUNREACH), errors.Is(err, unix.EMSGSIZE):
+		case err != nil && ofAnEarlierDatagram(err):
 		case err != nil:
 			l.fail(s, err)
 			return
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -43,6 +43,7 @@
 // Loop owns the sockets and timers.
 type Loop struct {
 	clock    Clock
+	calls    calls
 	epoll    int
 	wake     int            // an eventfd, written when a signal came
 	signals  chan os.Signal // those not told yet
@@ -64,7 +65,7 @@
 
 // New opens the loop.
 func New(clock Clock) (*Loop, error) {
-	l := &Loop{clock: clock, byConn: make(map[Conn]*socket), byFD: make(map[int]*socket), accepted: firstAccepted,
+	l := &Loop{clock: clock, calls: kernel(), byConn: make(map[Conn]*socket), byFD: make(map[int]*socket), accepted: firstAccepted,
 		timers: timers{byKey: make(map[Timer]*entry)}, buf: make([]byte, ReadSize),
 		ready: make([]unix.EpollEvent, mostReady)}
 	var err error
@@ -83,7 +84,7 @@
 
 // listen opens a listening socket. Other processes may listen at the same address: an upgrade's two do.
 func (l *Loop) listen(f Effect) error {
-	fd, err := open(f.Addr)
+	fd, err := l.open(f.Addr)
 	if err != nil {
 		return err
 	}
@@ -131,7 +132,7 @@
 			wait = 0
 		}
 		l.again = false
-		n, err := unix.EpollWait(l.epoll, l.ready, wait)
+		n, err := l.calls.wait(l.epoll, l.ready, wait)
 		if err != nil && !errors.Is(err, unix.EINTR) {
 			return fmt.Errorf("epoll: %w", err)
 		}
@@ -168,7 +169,7 @@
 // operators' calls must not wait for turns of a crowd.
 func (l *Loop) lookBehind(r Reducer) {
 	for _, s := range slices.Clone(l.urgent) {
-		if l.byConn[s.conn] == s && s.talks() && !quiet(s.fd) {
+		if l.byConn[s.conn] == s && s.talks() && !l.quiet(s.fd) {
 			l.tell(Event{Kind: Readable, Conn: s.conn})
 			l.drain(r)
 		}
@@ -317,7 +318,7 @@
 	case Adopt:
 		l.adopt(s, f.As)
 	case WriteQuiet:
-		if !quiet(s.fd) {
+		if !l.quiet(s.fd) {
 			l.tell(Event{Kind: Stale, Conn: s.conn})
 			return
 		}
--- a/internal/loop/sockets.go
+++ b/internal/loop/sockets.go
@@ -9,12 +9,12 @@
 	"golang.org/x/sys/unix"
 )
 
-func open(at netip.AddrPort) (int, error) {
+func (l *Loop) open(at netip.AddrPort) (int, error) {
 	family := unix.AF_INET
 	if at.Addr().Is6() {
 		family = unix.AF_INET6
 	}
-	return unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	return l.calls.socket(family, unix.SOCK_STREAM)
 }
 
 func sockaddr(at netip.AddrPort) unix.Sockaddr {
@@ -36,7 +36,7 @@
 	}
 	s.armed = s.wanted()
 	event := unix.EpollEvent{Events: s.armed, Fd: int32(s.fd), Pad: s.gen}
-	if err := unix.EpollCtl(l.epoll, unix.EPOLL_CTL_ADD, s.fd, &event); err != nil {
+	if err := l.calls.register(l.epoll, unix.EPOLL_CTL_ADD, s.fd, &event); err != nil {
 		l.fail(s, err)
 	}
 }
@@ -72,7 +72,7 @@
 	}
 	s.armed = want
 	event := unix.EpollEvent{Events: want, Fd: int32(s.fd), Pad: s.gen}
-	if err := unix.EpollCtl(l.epoll, unix.EPOLL_CTL_MOD, s.fd, &event); err != nil {
+	if err := l.calls.register(l.epoll, unix.EPOLL_CTL_MOD, s.fd, &event); err != nil {
 		l.fail(s, err)
 	}
 }
@@ -99,7 +99,7 @@
 // epoll would report it without end.
 func (l *Loop) accept(s *socket, most int) {
 	for range min(cmp.Or(most, mostAccept), mostAccept) {
-		fd, _, err := unix.Accept4(s.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		fd, err := l.calls.accept(s.fd)
 		switch {
 		case err == nil && s.unix && !own(fd):
 			_ = unix.Close(fd) // another user's
@@ -108,12 +108,12 @@
 				noDelay(fd)
 			}
 			l.accepted++
+			l.tell(Event{Kind: Accepted, Conn: l.accepted, Via: s.conn}) // before add, which may tell that it is broken
 			l.add(&socket{conn: l.accepted, fd: fd, urgent: s.urgent, unix: s.unix})
-			l.tell(Event{Kind: Accepted, Conn: l.accepted, Via: s.conn})
 		case errors.Is(err, unix.EAGAIN):
 			l.tell(Event{Kind: Drained, Conn: s.conn})
 			return
-		case errors.Is(err, unix.ECONNABORTED), errors.Is(err, unix.EINTR):
+		case ofThisConnection(err):
 		default:
 			l.tell(Event{Kind: AcceptFailed, Conn: s.conn, Err: err})
 			return
@@ -122,24 +122,24 @@
 }
 
 func (l *Loop) dial(f Effect) {
-	fd, err := open(f.Addr)
+	fd, err := l.open(f.Addr)
 	if err != nil {
-		l.tell(Event{Kind: Broken, Conn: f.Conn, Err: err})
+		l.tell(Event{Kind: Broken, Conn: f.Conn, Err: err, Local: ofThisMachine(err)})
 		return
 	}
 	noDelay(fd)
 	s := &socket{conn: f.Conn, fd: fd, connecting: true, urgent: f.Urgent}
-	err = unix.Connect(fd, sockaddr(f.Addr))
-	if err != nil && !errors.Is(err, unix.EINPROGRESS) {
+	err = l.calls.connect(fd, sockaddr(f.Addr))
+	if err != nil && !among(err, unix.EINPROGRESS, unix.EINTR) { // an interrupted one goes on as one in progress
 		_ = unix.Close(fd) // never connected
-		l.tell(Event{Kind: Broken, Conn: f.Conn, Err: err})
+		l.tell(Event{Kind: Broken, Conn: f.Conn, Err: err, Local: ofThisMachine(err)})
 		return
 	}
 	l.add(s)
 }
 
 func (l *Loop) finishDial(s *socket) {
-	code, err := unix.GetsockoptInt(s.fd, unix.SOL_SOCKET, unix.SO_ERROR)
+	code, err := l.calls.pending(s.fd)
 	if err == nil && code != 0 {
 		err = unix.Errno(code)
 	}
@@ -164,11 +164,11 @@
 	if l.bufInUse {
 		buf = make([]byte, ReadSize)
 	}
-	n, passed, err := 0, []Conn(nil), error(nil)
+	n, passed, err := 0, []int(nil), error(nil)
 	if s.unix {
 		n, passed, err = l.receive(s, buf)
 	} else {
-		n, err = unix.Read(s.fd, buf)
+		n, err = again(func() (int, error) { return l.calls.read(s.fd, buf) })
 	}
 	switch {
 	case errors.Is(err, unix.EAGAIN), errors.Is(err, unix.EINTR):
@@ -179,7 +179,7 @@
 		l.tell(Event{Kind: EOF, Conn: s.conn})
 	default:
 		l.bufInUse = true
-		l.tell(Event{Kind: Data, Conn: s.conn, Data: buf[:n], Passed: passed})
+		l.tellPassed(s, buf[:n], passed)
 		if s.ending || s.urgent && n == len(buf) {
 			l.tell(Event{Kind: more, Conn: s.conn})
 		}
@@ -212,7 +212,7 @@
 // send writes until the socket takes no more. It reports false where that ended the socket.
 func (l *Loop) send(s *socket, data []byte) (n int, ok bool) {
 	for n < len(data) {
-		m, err := unix.SendmsgN(s.fd, data[n:], nil, nil, unix.MSG_NOSIGNAL)
+		m, err := l.calls.send(s.fd, data[n:])
 		if errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR) {
 			return n, true
 		}
@@ -238,8 +238,8 @@
 
 // quiet reports whether an idle peer has neither spoken nor left. Guards against sending a request on a link
 // whose end has arrived since epoll was last asked: the request would end as a reset.
-func quiet(fd int) bool {
+func (l *Loop) quiet(fd int) bool {
 	var one [1]byte
-	_, _, err := unix.Recvfrom(fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	_, err := again(func() (int, error) { return 0, l.calls.peek(fd, one[:]) })
 	return errors.Is(err, unix.EAGAIN)
 }
--- a/internal/loop/types.go
+++ b/internal/loop/types.go
@@ -66,6 +66,7 @@
 	Passed []Conn
 	From   netip.AddrPort // with Data on a datagram socket, which tells one event for each datagram
 	Err    error
+	Local  bool // with Broken in answer to a Dial: this machine has run out of something, which tells nothing of the peer
 }
 
 // Op says what an effect does.
--- a/internal/loop/unix.go
+++ b/internal/loop/unix.go
@@ -94,8 +94,8 @@
 	l.write(s, f.Data[n:])
 }
 
-// receive reads from a Unix socket, with the sockets that come beside.
-func (l *Loop) receive(s *socket, buf []byte) (n int, passed []Conn, err error) {
+// receive reads from a Unix socket, with the descriptors of the sockets that come beside.
+func (l *Loop) receive(s *socket, buf []byte) (n int, passed []int, err error) {
 	beside := make([]byte, unix.CmsgSpace(4*mostPassed))
 	n, at, _, _, err := unix.Recvmsg(s.fd, buf, beside, unix.MSG_CMSG_CLOEXEC)
 	if err != nil || at == 0 {
@@ -110,15 +110,25 @@
 		if err != nil {
 			continue // not sockets
 		}
-		for _, fd := range fds {
-			l.accepted++
-			l.add(&socket{conn: l.accepted, fd: fd, muted: true, shared: true})
-			passed = append(passed, l.accepted)
-		}
+		passed = append(passed, fds...)
 	}
 	return n, passed, nil
 }
 
+// tellPassed tells what came with sockets beside it, and then adds these: one that cannot be added is told to be broken after it
+// has been heard of.
+func (l *Loop) tellPassed(s *socket, data []byte, passed []int) {
+	e := Event{Kind: Data, Conn: s.conn, Data: data}
+	for range passed {
+		l.accepted++
+		e.Passed = append(e.Passed, l.accepted)
+	}
+	l.tell(e)
+	for i, fd := range passed {
+		l.add(&socket{conn: e.Passed[i], fd: fd, muted: true, shared: true})
+	}
+}
+
 // adopt makes a passed socket a listening one of this process.
 func (l *Loop) adopt(s *socket, as Conn) {
 	if accepts, err := unix.GetsockoptInt(s.fd, unix.SOL_SOCKET, unix.SO_ACCEPTCONN); err != nil || accepts == 0 || l.byConn[as] != nil {
