--- a/api.go
+++ b/api.go
@@ -96,9 +96,9 @@
 	ID     RequestID
 	Class  int
 	Tenant int
-	// Patience is the time until the client gives up on this try. A repeat was begun Deadline-Patience ago. Where
-	// repeats are not marked, first tries of a class should share one value (to a few parts in a hundred); another
-	// value is taken for a repeat.
+	// Patience is the time until the client gives up on this try. A repeat was begun Deadline-Patience ago.
+	// Where repeats are not marked, first tries of a class should share one value (to a few parts in a
+	// hundred); another value is taken for a repeat.
 	Patience time.Duration
 	Repeat   bool // marked by the client as a repeat
 	// Waited is how much of the patience had passed before the gateway could take the request.
--- a/helpers.go
+++ b/helpers.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// This file holds what the decisions share and no decision: arithmetic, what is counted, the order of the queue, a store of used
-// requests, log lines.
+// This file holds what the decisions share and no decision: arithmetic, what is counted, the order of the
+// queue, a store of used requests, log lines.
 
 // average is a running mean that counts its first values in full.
 type average struct {
--- /dev/null
+++ b/internal/ci/policy_test.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// What a reader of the decision code can take in at once: lines of a file that say something, and columns of a line, a tab being four.
+const (
+	mostLines   = 400
+	mostColumns = 110
+)
+
+// quoted finds the texts of a list in TOML.
+var quoted = regexp.MustCompile(`"([^"]*)"`)
+
+// policyFiles are those that the deploy file names as deciding.
+func policyFiles(t *testing.T, root string) (files []string) {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join(root, "deploy/balancer.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.SplitSeq(string(text), "\n") {
+		if strings.HasPrefix(line, "policy = ") {
+			for _, match := range quoted.FindAllStringSubmatch(line, -1) {
+				files = append(files, match[1])
+			}
+		}
+	}
+	return files
+}
+
+// sourcesOf lists the sources of the decision module and of the packages of ours that it imports.
+func sourcesOf(t *testing.T, root string) (files []string) {
+	t.Helper()
+	list := exec.Command("go", "list", "-deps", "-f",
+		`{{if .Module}}{{if eq .Module.Path "thymebend"}}{{$dir := .Dir}}{{range .GoFiles}}{{$dir}}/{{.}}{{"\n"}}{{end}}{{end}}{{end}}`, ".")
+	list.Dir = root
+	out, err := list.Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range strings.Fields(string(out)) {
+		name, err := filepath.Rel(root, path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		files = append(files, name)
+	}
+	return files
+}
+
+// The deploy file names every file that takes part in decisions, and nothing else; each can be read at a sitting.
+func TestPolicyIsCompleteAndReadable(t *testing.T) {
+	root, err := filepath.Abs("../..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	named, used := policyFiles(t, root), sourcesOf(t, root)
+	for _, name := range used {
+		if !slices.Contains(named, name) {
+			t.Errorf("deploy/balancer.toml: policy lacks %s", name)
+		}
+	}
+	for _, name := range named {
+		if !slices.Contains(used, name) {
+			t.Errorf("deploy/balancer.toml: policy names %s, which the module is not built from", name)
+			continue
+		}
+		text, err := os.ReadFile(filepath.Join(root, name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		lines := 0
+		for number, line := range strings.Split(string(text), "\n") {
+			if strings.TrimSpace(line) != "" {
+				lines++
+			}
+			if columns := len([]rune(strings.ReplaceAll(line, "\t", "    "))); columns > mostColumns {
+				t.Errorf("%s:%d: %d columns, %d at most", name, number+1, columns, mostColumns)
+			}
+		}
+		if lines > mostLines {
+			t.Errorf("%s: %d lines, %d at most", name, lines, mostLines)
+		}
+	}
+}
--- a/internal/pacing/pacing.go
+++ b/internal/pacing/pacing.go
@@ -1,7 +1,7 @@
-// Package pacing spaces the calls of one gateway to a service that all gateways of its fleet share. The service
-// works through calls in turn and turns away those that wait too long, so what one caller may do at once, all
-// callers together may not: calls that fail come further apart, as in congestion control. The package is pure: the
-// caller passes the time and the random draws.
+// Package pacing spaces the calls of one gateway to a service that all gateways of its fleet share. The
+// service works through calls in turn and turns away those that wait too long, so what one caller may do at
+// once, all callers together may not: calls that fail come further apart, as in congestion control. The
+// package is pure: the caller passes the time and the random draws.
 package pacing
 
 import "time"
@@ -19,23 +19,27 @@
 	Ended
 )
 
-// Times between the beginnings of two calls. A change has to be known 6 s after the service could be reached, which
-// bounds the interval until the service has refused so often that its queue, not the interval, is what takes long.
+// Times between the beginnings of two calls. A change has to be known 6 s after the service could be
+// reached, which bounds the interval until the service has refused so often that its queue, not the
+// interval, is what takes long.
 const (
-	// callGap is the time between two calls of the whole fleet that a service of unknown capacity is taken to bear.
+	// callGap is the time between two calls of the whole fleet that a service of unknown capacity is taken
+	// to bear.
 	callGap = 200 * time.Millisecond
 	// shortInterval is the longest interval of a small fleet, and of calls that met nobody.
 	shortInterval = 1500 * time.Millisecond
-	// longInterval is the longest interval before patientFailures failures: with half a second for the answer it
-	// stays within 6 s.
+	// longInterval is the longest interval before patientFailures failures: with half a second for the
+	// answer it stays within 6 s.
 	longInterval = 5500 * time.Millisecond
 	// farInterval is the longest interval of all.
 	farInterval = time.Minute
-	// patientFailures is how many failures in a row that cost the service a turn leave the interval within longInterval.
+	// patientFailures is how many failures in a row that cost the service a turn leave the interval within
+	// longInterval.
 	patientFailures = 5
-	// turnTaken is how long a call takes at least that has waited for its turn. One that fails sooner was turned away by a service
-	// that is down or sheds: it cost nothing, says nothing of how many calls the service bears, and must not put off the next
-	// one beyond longInterval, for the service may be back at any moment.
+	// turnTaken is how long a call takes at least that has waited for its turn. One that fails sooner was
+	// turned away by a service that is down or sheds: it cost nothing, says nothing of how many calls the
+	// service bears, and must not put off the next one beyond longInterval, for the service may be back at
+	// any moment.
 	turnTaken = 500 * time.Millisecond
 	// mostDoublings bounds the shifts: farInterval is reached before.
 	mostDoublings = 10
@@ -47,7 +51,8 @@
 
 // Pacer is the state of one caller. The zero value has seen no failure.
 type Pacer struct {
-	// First is the interval after the first failure; 0 is half of the regular one. It doubles up to the regular one.
+	// First is the interval after the first failure; 0 is half of the regular one. It doubles up to the
+	// regular one.
 	First    time.Duration
 	failures int // in a row
 	turns    int // of these, that cost the service a turn
@@ -56,9 +61,10 @@
 // Succeeded notes that a call was answered.
 func (p *Pacer) Succeeded() { p.failures, p.turns = 0, 0 }
 
-// Failed notes a failure and returns the delay until the next call. callers is the size of the fleet, elapsed the time
-// since the call began, and spread and jitter are drawn evenly from 0 to 1.
-func (p *Pacer) Failed(kind Failure, callers int, elapsed time.Duration, spread, jitter float64) time.Duration {
+// Failed notes a failure and returns the delay until the next call. callers is the size of the fleet,
+// elapsed the time since the call began, and spread and jitter are drawn evenly from 0 to 1.
+func (p *Pacer) Failed(kind Failure, callers int, elapsed time.Duration, spread, jitter float64,
+) time.Duration {
 	if kind == Ended {
 		return fraction(endedSpread, spread)
 	}
--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -1,6 +1,6 @@
-// Package subset works out which part of many servers each of many gateways uses: few enough that servers are not
-// short of connections and that a gateway learns what its servers can do, spread evenly without a word between
-// gateways, and stable. It knows numbers only, does no I/O and has no clock.
+// Package subset works out which part of many servers each of many gateways uses: few enough that servers
+// are not short of connections and that a gateway learns what its servers can do, spread evenly without a
+// word between gateways, and stable. It knows numbers only, does no I/O and has no clock.
 package subset
 
 import (
@@ -10,8 +10,8 @@
 	"time"
 )
 
-// Zone holds the ready servers of one zone and of all others, and how many of each a gateway of the zone uses. A
-// fraction is the share of the gateways that use one more.
+// Zone holds the ready servers of one zone and of all others, and how many of each a gateway of the zone
+// uses. A fraction is the share of the gateways that use one more.
 type Zone struct {
 	Zone          int
 	Ready, Others float64
@@ -33,12 +33,12 @@
 	return out
 }
 
-// Rule says how many gateways use a server: of its own zone, and of the others. A gateway uses Least servers in all
-// at least, if there are so many.
+// Rule says how many gateways use a server: of its own zone, and of the others. A gateway uses Least
+// servers in all at least, if there are so many.
 type Rule struct{ Own, Far, Least float64 }
 
-// Parts fills in what a gateway of each zone uses; Zone and Ready are given. Gateways are taken to be spread evenly
-// over zones, which no list tells.
+// Parts fills in what a gateway of each zone uses; Zone and Ready are given. Gateways are taken to be
+// spread evenly over zones, which no list tells.
 func (r Rule) Parts(gateways int, zones []Zone) {
 	all := 0.0
 	for _, z := range zones {
@@ -70,33 +70,34 @@
 	return max(1, n)
 }
 
-// Start is the place among n at which the gateway with this number begins: multiples of the golden ratio spread any
-// part of the numbers evenly.
+// Start is the place among n at which the gateway with this number begins: multiples of the golden ratio
+// spread any part of the numbers evenly.
 func Start(rank, n int) int {
 	_, at := math.Modf(float64(rank) * math.Phi)
 	return int(at * float64(n))
 }
 
-// Whole makes a number of servers whole for the gateway with this number: a fraction of a server is one at that share
-// of the gateways.
+// Whole makes a number of servers whole for the gateway with this number: a fraction of a server is one at
+// that share of the gateways.
 func Whole(rank int, want float64) float64 {
 	_, chance := math.Modf(float64(rank) * math.Sqrt2)
 	return math.Floor(want + chance)
 }
 
-// Reach is what a gateway that is short of room uses beyond its even part, and how it gives that up: traffic and
-// servers are not spread alike over zones and gateways, which no list tells. It grows by one a sample and shrinks by
-// half where a server beyond the even part is full or cannot be reached, for then others need it or a zone is lost: hundreds of gateways that are short
-// together would take each other's connections. Growth then rests, longer each time.
+// Reach is what a gateway that is short of room uses beyond its even part, and how it gives that up:
+// traffic and servers are not spread alike over zones and gateways, which no list tells. It grows by one a
+// sample and shrinks by half where a server beyond the even part is full or cannot be reached, for then
+// others need it or a zone is lost: hundreds of gateways that are short together would take each other's
+// connections. Growth then rests, longer each time.
 type Reach struct {
 	Size     float64 // servers, and a part of one
 	fails    int
 	resumeAt time.Duration
 }
 
-// Signs are what a gateway saw in one sample. Short says that requests waited, Full that a server beyond the even
-// part had no room or could not be reached, Warming that one of the even part is cold: room then comes by itself, and the whole fleet is
-// likely short.
+// Signs are what a gateway saw in one sample. Short says that requests waited, Full that a server beyond
+// the even part had no room or could not be reached, Warming that one of the even part is cold: room then
+// comes by itself, and the whole fleet is likely short.
 type Signs struct{ Short, Full, Warming bool }
 
 const (
@@ -104,8 +105,8 @@
 	maxDoubling = 3        // doublings of the rest
 )
 
-// Sample takes the signs of a sample and reports whether the whole number of servers changed. rest is how long growth
-// rests at first; the caller varies it, or gateways would stay in step.
+// Sample takes the signs of a sample and reports whether the whole number of servers changed. rest is how
+// long growth rests at first; the caller varies it, or gateways would stay in step.
 func (r *Reach) Sample(now time.Duration, seen Signs, most float64, rest time.Duration) bool {
 	had := r.Size
 	switch {
@@ -126,9 +127,9 @@
 // Servers is how many servers that is.
 func (r *Reach) Servers() float64 { return math.Floor(r.Size) }
 
-// Crowding is by how much more gateways than the mean use the ready server at each place. Whoever begins at a place
-// without one goes on to the next, so that a server behind a gap has the gap's gateways too. part is how many servers a
-// gateway uses.
+// Crowding is by how much more gateways than the mean use the ready server at each place. Whoever begins at
+// a place without one goes on to the next, so that a server behind a gap has the gap's gateways too. part
+// is how many servers a gateway uses.
 func Crowding(ready []bool, part float64) []float64 {
 	out := make([]float64, len(ready))
 	var places []int
--- a/state.go
+++ b/state.go
@@ -6,11 +6,11 @@
 	"time"
 )
 
-// This file carries state over: to new settings, and to another process of the same gateway. It takes no decisions; what it keeps and what it drops is stated
-// at each function.
+// This file carries state over: to new settings, and to another process of the same gateway. It takes no
+// decisions; what it keeps and what it drops is stated at each function.
 
-// placeFree is how long the place of a class that left the settings is not given to another: requests worded for it
-// may still come.
+// placeFree is how long the place of a class that left the settings is not given to another: requests
+// worded for it may still come.
 const placeFree = 5 * time.Second
 
 // current walks over the classes that the settings name.
@@ -30,11 +30,11 @@
 	}
 }
 
-// Reload takes new settings between two events and returns the place of each class of cfg.Classes, which is what
-// Request.Class means from now on. Requests under way keep the class that they came with. A class that did not change
-// keeps its place; one that changed, or is new, gets another and takes over what was learnt of its namesake. All that
-// was learnt of servers stays. The place in the world, Rank and Zone, stays that of the start. A faulty cfg changes
-// nothing.
+// Reload takes new settings between two events and returns the place of each class of cfg.Classes, which is
+// what Request.Class means from now on. Requests under way keep the class that they came with. A class that
+// did not change keeps its place; one that changed, or is new, gets another and takes over what was learnt
+// of its namesake. All that was learnt of servers stays. The place in the world, Rank and Zone, stays that
+// of the start. A faulty cfg changes nothing.
 func (b *Balancer) Reload(now time.Duration, cfg Config) ([]int, error) {
 	if err := cfg.Validate(); err != nil {
 		return nil, err
@@ -44,7 +44,8 @@
 	if cfg.Rank >= cfg.Gateways {
 		cfg.Gateways = b.cfg.Gateways
 	}
-	tenants, asked := slices.Equal(cfg.Tenants, b.cfg.Tenants) && cfg.Gateways == b.cfg.Gateways, b.cfg.AskForList
+	tenants := slices.Equal(cfg.Tenants, b.cfg.Tenants) && cfg.Gateways == b.cfg.Gateways
+	asked := b.cfg.AskForList
 	b.cfg = cfg
 	if !tenants {
 		b.setTenants()
@@ -106,8 +107,8 @@
 	return free
 }
 
-// Avoided is how many of the listed servers get no ordinary work now: those that drain, and those that failed or
-// were silent and are on trial.
+// Avoided is how many of the listed servers get no ordinary work now: those that drain, and those that
+// failed or were silent and are on trial.
 func (b *Balancer) Avoided() int {
 	n := 0
 	for _, s := range b.servers {
@@ -118,8 +119,8 @@
 	return n
 }
 
-// Learned is what one process of a gateway hands to the next: what it has learnt, and the spent budgets of cold
-// servers, which both must not spend.
+// Learned is what one process of a gateway hands to the next: what it has learnt, and the spent budgets of
+// cold servers, which both must not spend.
 type Learned struct {
 	Psi      float64         `json:"psi"`
 	Response float64         `json:"response"`
@@ -163,20 +164,25 @@
 	b.now = now
 	out := Learned{Psi: b.psi, Response: b.response, WarmRate: b.warmRate}
 	for c := range b.current {
-		out.Classes = append(out.Classes, LearnedClass{Name: c.Name, Answers: c.service.n, ServiceMS: c.service.mean,
-			SpreadMS: c.spread.mean, ServedOf: c.served.n, Served: c.served.mean, Arrivals: c.arrivals, Patience: c.patience,
-			PatienceBy: c.agreed})
+		out.Classes = append(out.Classes, LearnedClass{
+			Name: c.Name, Answers: c.service.n, ServiceMS: c.service.mean, SpreadMS: c.spread.mean,
+			ServedOf: c.served.n, Served: c.served.mean, Arrivals: c.arrivals,
+			Patience: c.patience, PatienceBy: c.agreed,
+		})
 	}
 	for _, s := range b.servers {
-		out.Servers = append(out.Servers, LearnedServer{ID: s.ID, Born: s.Born, Limit: s.u, Gain: s.gain, BaseMS: s.base,
-			Answers: s.smooth.n, ServiceMS: s.smooth.mean, FailShare: s.failShare, Ejected: s.ejected, Silent: s.silent,
-			Ejections: s.ejections, TrialIn: max(0, s.trialAt-now), ColdTokens: s.coldTokens})
+		out.Servers = append(out.Servers, LearnedServer{
+			ID: s.ID, Born: s.Born, Limit: s.u, Gain: s.gain, BaseMS: s.base,
+			Answers: s.smooth.n, ServiceMS: s.smooth.mean, FailShare: s.failShare,
+			Ejected: s.ejected, Silent: s.silent, Ejections: s.ejections,
+			TrialIn: max(0, s.trialAt-now), ColdTokens: s.coldTokens,
+		})
 	}
 	return out
 }
 
-// Learn takes what another process of this gateway had learnt, after its list. Servers and classes that are not known
-// here are passed over, and so are figures that no run of this module gives.
+// Learn takes what another process of this gateway had learnt, after its list. Servers and classes that are
+// not known here are passed over, and so are figures that no run of this module gives.
 func (b *Balancer) Learn(now time.Duration, in Learned) {
 	b.now = now
 	if sane(in.Psi, in.Response, in.WarmRate) && in.Response >= minResponse {
@@ -185,7 +191,8 @@
 	}
 	for _, l := range in.Classes {
 		for c := range b.current {
-			if c.Name == l.Name && l.Answers >= 0 && l.ServedOf >= 0 && sane(l.ServiceMS, l.SpreadMS, l.Served, l.Arrivals) {
+			usable := l.Answers >= 0 && l.ServedOf >= 0 && sane(l.ServiceMS, l.SpreadMS, l.Served, l.Arrivals)
+			if c.Name == l.Name && usable {
 				c.service, c.spread = average{l.Answers, l.ServiceMS}, average{l.Answers, l.SpreadMS}
 				c.served, c.arrivals = average{l.ServedOf, min(l.Served, 1)}, l.Arrivals
 				c.patience, c.agreed = l.Patience, min(l.PatienceBy, mostAgreed)
@@ -197,8 +204,9 @@
 	}
 	for _, l := range in.Servers {
 		s := b.byID[l.ID]
-		if s == nil || s.Born != l.Born || l.Answers < 0 || !sane(l.Limit, l.Gain, l.BaseMS, l.ServiceMS, l.FailShare) ||
-			!sane(math.Abs(l.ColdTokens)) {
+		usable := l.Answers >= 0 && sane(l.Limit, l.Gain, l.BaseMS, l.ServiceMS, l.FailShare) &&
+			sane(math.Abs(l.ColdTokens))
+		if s == nil || s.Born != l.Born || !usable {
 			continue
 		}
 		s.u, s.gain, s.base = max(s.startLimit(), l.Limit), l.Gain, l.BaseMS
@@ -221,8 +229,9 @@
 	return true
 }
 
-// Yield has cold servers get nothing more from here, for another process of this gateway has their budgets; or, if
-// that has died, something again. What it had spent is not known: the budgets start anew from nothing.
+// Yield has cold servers get nothing more from here, for another process of this gateway has their budgets;
+// or, if that has died, something again. What it had spent is not known: the budgets start anew from
+// nothing.
 func (b *Balancer) Yield(now time.Duration, yes bool) {
 	b.now, b.yielded = now, yes
 	for _, s := range b.servers {
@@ -230,7 +239,8 @@
 	}
 }
 
-// LeastRate is how many requests of the average class a second one core answers at least, where aims are all that is known.
+// LeastRate is how many requests of the average class a second one core answers at least, where aims are
+// all that is known.
 func (b *Balancer) LeastRate() float64 { return 1 / ((1 - gamma) * b.meanAim().Seconds()) }
 
 // tellsAfter is how old a process is before it knows its traffic.
@@ -256,7 +266,8 @@
 		out.Demand += c.arrivals * b.weight(c)
 	}
 	// Arrivals are counted with a decay; of a young process they lack what came before it.
-	out.Demand *= arrivalDecay / period.Seconds() / (1 - math.Exp(-arrivalDecay*float64(max(age, period))/float64(period)))
+	counted := 1 - math.Exp(-arrivalDecay*float64(max(age, period))/float64(period))
+	out.Demand *= arrivalDecay / period.Seconds() / counted
 	if all > 0 {
 		out.Refused = clamp(missed/all, 0, 1)
 	}
@@ -274,7 +285,8 @@
 	return out
 }
 
-// Called tells that the call for the list that Watch asked for begins only now, as discovery has asked to be called later.
+// Called tells that the call for the list that Watch asked for begins only now, as discovery has asked to
+// be called later.
 func (b *Balancer) Called(now time.Duration) {
 	b.now = now
 	b.askedAt = now
