Log why a large answer could not be passed on to its end

The log shows the end cut and not whether the host ended its connection or it broke, nor how much had come. Change: a debug line with the cause, the length, what had come and who was waited for. No behaviour is changed. Measured: gateway tests pass.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"thymebend/internal/clients"
 	"thymebend/internal/http1"
 	"thymebend/internal/loop"
@@ -13,6 +15,9 @@
 	client *clients.Link
 	server *servers.Link
 	id     string // the client's, of the query
+	began  time.Duration
+	length int64 // of the answer; -1 where it is not stated
+	came   int   // bytes of the body since it is relayed
 	class  string
 	chunks bool // how the answer goes to the client
 	reuse  bool // the server link may carry another request afterwards
@@ -37,7 +42,7 @@
 	if length < 0 && !chunks { // a client too old for chunks knows the end by the connection's
 		keep, c.Closing = false, true
 	}
-	r := &relay{client: c, server: l, id: q.ID, class: q.Class.Name, chunks: chunks, reuse: reuse}
+	r := &relay{client: c, server: l, id: q.ID, began: g.now, length: length, class: q.Class.Name, chunks: chunks, reuse: reuse}
 	g.relays[c.Conn], g.relays[l.Conn] = r, r
 	g.unbind(x)
 	l.Phase = servers.Relaying
@@ -65,17 +70,20 @@
 		}
 		g.ask(loop.Effect{Op: loop.Read, Conn: e.Conn})
 	case loop.Data:
+		r.came += len(e.Data)
 		r.server.Take(e.Data)
 		g.setTimer(timerLink, uint64(e.Conn), g.now+standsFor)
 		g.pumpRelay(r)
 	case loop.EOF:
 		if !r.server.EndsByClose() {
+			g.traceCut(r, "its host ended it", nil)
 			g.dropClient(r.client, EndCut)
 			return
 		}
 		r.reuse = false
 		g.pass(r, nil, true)
 	case loop.Broken:
+		g.traceCut(r, "its connection broke", e.Err)
 		g.dropClient(r.client, EndCut)
 	}
 }
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -84,6 +84,12 @@
 		Dur("after", g.now-l.Began).Dur("silent", l.Silent(g.now)).Msg("request not whole in time")
 }
 
+// traceCut logs why a large answer could not be passed on to its end.
+func (g *Gateway) traceCut(r *relay, why string, err error) {
+	g.log.Debug().Str("id", r.id).Str("why", why).AnErr("cause", err).Int64("length", r.length).Int("came", r.came).
+		Bool("client_busy", r.busy).Bool("host_unread", r.muted).Dur("after", g.now-r.began).Msg("large answer cut")
+}
+
 // traceClientEnd counts the end of a client connection and logs its reason.
 func (g *Gateway) traceClientEnd(l *clients.Link, end End) {
 	g.countEnd(end)
