Read large answers ahead of slow clients, so that a reset soon after the last byte cuts none off

With the cause logged,: its connection broke (reset by peer), length 190,598, 125,105 had come, client busy, host not read. In all four such cuts of answers with a length exactly 65,493 bytes were left: what the machine's buffer holds. So the host had written all of it; the gateway read one piece only once the client had taken the one before, and the reset took what lay unread. Whether the machine is fast decides it, as the client must not have taken a piece in the milliseconds between. Ruled out: standsFor, TakenWithin, descriptors, stops.

Change: relayEvent reads on while the client is busy, 256 KiB of one answer and 2 MiB of all; the end of a host's connection, by a close or a reset, ends an answer only where it had not come whole. An answer with no length still has no end but the close.

--- a/internal/gateway/fromclients.go
+++ b/internal/gateway/fromclients.go
@@ -390,7 +390,9 @@
 	if r := g.relays[l.Conn]; r != nil {
 		// Half an answer is out: the client must be able to tell, however it is framed.
 		g.forgetRelay(r, faulted)
-		g.dropLink(r.server, end)
+		if !r.parted {
+			g.dropLink(r.server, end)
+		}
 		g.ask(loop.Effect{Op: loop.Abort, Conn: l.Conn})
 	} else {
 		g.close(l.Conn)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,6 +110,7 @@
 	open     map[string]bool // the clients' ids of the queries that await their answer
 	nextID   thymebend.RequestID
 	relays   map[loop.Conn]*relay // large answers under way, by either link
+	ahead    int                  // bytes of them that were read and wait for clients
 	byLink   map[loop.Conn]*execution
 	byID     map[uint64]*execution
 	nextExec uint64
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -9,6 +9,13 @@
 	"thymebend/internal/servers"
 )
 
+// What is read of large answers ahead of their clients: a host whose machine resets a connection soon after its last byte takes with
+// it what lies unread here, and an answer that it has given whole would be cut off. Both bound memory, of one answer and of all.
+const (
+	mostAhead      = 256 << 10
+	mostAheadOfAll = 2 << 20
+)
+
 // relay is a large answer on its way from a host to a client, one piece at a time. For the module the attempt has
 // ended.
 type relay struct {
@@ -24,6 +31,8 @@
 	busy   bool // a piece is not yet written out
 	muted  bool // the host waits for the client
 	done   bool // the last piece has come
+	ahead  int  // bytes that were read and wait for the client
+	parted bool // the host's connection has ended, and all of the answer was read before
 }
 
 // large takes a host's answer that is too large to be held. A 200 is passed on as it comes; of others only the head
@@ -63,7 +72,7 @@
 	}
 	switch e.Kind {
 	case loop.Readable:
-		if r.busy && !r.muted { // one that is muted and has news is broken: see loop.Mute
+		if r.busy && !r.muted && !g.mayReadAhead(r) { // one that is muted and has news is broken: see loop.Mute
 			r.muted = true
 			g.ask(loop.Effect{Op: loop.Mute, Conn: e.Conn})
 			return
@@ -72,38 +81,64 @@
 	case loop.Data:
 		r.came += len(e.Data)
 		r.server.Take(e.Data)
+		r.ahead += len(e.Data)
+		g.ahead += len(e.Data)
 		g.setTimer(timerLink, uint64(e.Conn), g.now+standsFor)
 		g.pumpRelay(r)
 	case loop.EOF:
-		if !r.server.EndsByClose() {
+		if !r.server.EndsByClose() && !r.server.Complete() {
 			g.traceCut(r, "its host ended it", nil)
 			g.dropClient(r.client, EndCut)
 			return
 		}
-		r.reuse = false
-		g.pass(r, nil, true)
+		g.part(r)
 	case loop.Broken:
-		g.traceCut(r, "its connection broke", e.Err)
-		g.dropClient(r.client, EndCut)
+		if !r.server.Complete() { // with no length, a reset is no end
+			g.traceCut(r, "its connection broke", e.Err)
+			g.dropClient(r.client, EndCut)
+			return
+		}
+		g.part(r)
 	}
 }
 
+// mayReadAhead reports whether more of an answer may be read though its client has not taken what was read before.
+func (g *Gateway) mayReadAhead(r *relay) bool {
+	return r.ahead < mostAhead && g.ahead < mostAheadOfAll
+}
+
+// part ends the host's side of an answer that has been read to its end. What is left of it goes to the client as that takes it.
+func (g *Gateway) part(r *relay) {
+	r.parted, r.reuse = true, false
+	delete(g.relays, r.server.Conn)
+	g.dropLink(r.server, EndServed)
+	g.pumpRelay(r)
+}
+
 // pumpRelay writes what has come of an answer to the client.
 func (g *Gateway) pumpRelay(r *relay) {
 	if r.busy || r.done {
 		return
 	}
 	piece, done, err := r.server.Pieces()
+	g.taken(r)
 	if err != nil {
 		g.log.Debug().Err(err).Msg("answer of a host")
 		g.dropClient(r.client, EndGarbled)
 		return
 	}
+	done = done || r.parted // what is read to its end without a length has no other
 	if len(piece) > 0 || done {
 		g.pass(r, piece, done)
 	}
 }
 
+// taken notes that all that was read ahead is being written to the client.
+func (g *Gateway) taken(r *relay) {
+	g.ahead -= r.ahead
+	r.ahead = 0
+}
+
 func (g *Gateway) pass(r *relay, piece []byte, last bool) {
 	r.done = last
 	data := g.framed(piece, r.chunks, last)
@@ -120,7 +155,7 @@
 func (g *Gateway) relayFlushed(r *relay) {
 	r.busy = false
 	if !r.done {
-		if g.pumpRelay(r); r.muted && !r.busy && g.relays[r.server.Conn] == r {
+		if g.pumpRelay(r); r.muted && (!r.busy || g.mayReadAhead(r)) && g.relays[r.server.Conn] == r {
 			r.muted = false
 			g.ask(loop.Effect{Op: loop.Unmute, Conn: r.server.Conn})
 		}
@@ -128,6 +163,10 @@
 	}
 	l, c := r.server, r.client
 	g.forgetRelay(r, fulfilled)
+	if r.parted {
+		g.flushed(c)
+		return
+	}
 	if r.muted {
 		g.ask(loop.Effect{Op: loop.Unmute, Conn: l.Conn})
 	}
@@ -143,6 +182,7 @@
 	delete(g.relays, r.client.Conn)
 	delete(g.relays, r.server.Conn)
 	delete(g.open, r.id)
+	g.taken(r)
 	g.settle(r.class, how)
 }
 
--- a/internal/servers/pool.go
+++ b/internal/servers/pool.go
@@ -76,6 +76,9 @@
 	return piece, done, nil
 }
 
+// Complete reports whether all of the answer under way has come, though not all of it may have been handed out.
+func (l *Link) Complete() bool { return l.reader.Complete() }
+
 // EndsByClose reports whether the end of the host's sending is the regular end of the answer.
 func (l *Link) EndsByClose() bool { return l.reader.EndsByClose() }
 
