--- a/internal/clients/link.go
+++ b/internal/clients/link.go
@@ -49,7 +49,7 @@
 	Queries  int           // how many queries came on it
 	Since    time.Duration // of its accept or its last answer
 	Accepted time.Duration
-	Armed    bool          // a timer is set that ends it, or looks at it again
+	Timer    time.Duration // when it is looked at again, or ended; 0 if no timer is set
 	Timed    bool          // the rest of a request is awaited for a limited time
 	LastAsk  bool          // is looked at once more before it ends
 	Upload   bool          // a body is being taken in pieces and has not ended
--- a/internal/gateway/fromclients.go
+++ b/internal/gateway/fromclients.go
@@ -343,7 +343,7 @@
 func (g *Gateway) clientTimer(c loop.Conn) {
 	l := g.links.ByConn[c]
 	if l != nil {
-		l.Armed = false
+		l.Timer = 0
 		defer func() {
 			if g.links.ByConn[c] == l {
 				g.links.Place(l)
--- a/internal/gateway/guarded.go
+++ b/internal/gateway/guarded.go
@@ -57,22 +57,29 @@
 	if l.Incomplete() {
 		at = g.guard.Wait(at, max(l.Heard(), l.Began), clients.OwedWithin)
 	}
-	l.Armed = true
+	l.Timer = at
 	g.setTimer(timerClient, uint64(l.Conn), at)
 }
 
 // untimeClient has a client connection end by nothing but its request.
 func (g *Gateway) untimeClient(l *clients.Link) {
-	l.Armed = false
+	l.Timer = 0
 	g.stopTimer(timerClient, uint64(l.Conn))
 }
 
-// checkTimed looks at a client connection after an event on it: something must end it. A last look is answered in the same round.
+// checkTimed looks at a client connection after an event on it: something must end it, and half a request in time. A last look is
+// answered in the same round.
 func (g *Gateway) checkTimed(l *clients.Link) {
 	request := l.Busy && l.Query != 0 || l.LastAsk
-	if !g.guard.Timed(l.Armed, request) {
+	if !g.guard.Timed(l.Timer != 0, request) {
 		g.timeClient(l, g.now+clients.WholeWithin)
 	}
+	if l.Timer == 0 || !l.Incomplete() {
+		return
+	}
+	if at := g.guard.Wait(l.Timer, max(l.Heard(), l.Began), clients.OwedWithin); at < l.Timer {
+		g.timeClient(l, at)
+	}
 }
 
 // checkClose looks at a client connection that the gateway is about to end. A request that waits on it gets its answer.
--- a/internal/lab/virtual/clients.go
+++ b/internal/lab/virtual/clients.go
@@ -59,7 +59,7 @@
 		Due: w.sim.Now()})
 	w.sim.Note("client %s asks %s", c.id, c.gw.name)
 	w.asked++
-	if r.Act == "" && !r.Fresh {
+	if r.Act == "" && !r.Fresh || r.Act == "stop" && r.Pieces%2 == 0 {
 		if l := w.rest(c.gw); l != nil {
 			c.end, c.used = l.end, true
 			c.end.ready = c.heard
