Answer a half request when the guard cuts its wait, where a clamped timer fell due again at once

'Leave half a body without a time' asks for 5 s, the guard cut the timer to 3 s after the last byte, and clientTimer compared with the uncut 5 s: it set the timer to a time that had passed, for ever (one core busy until the 5 s were over). Line: the comparison in clientTimer used waitUntil, the clamp stood in timeClient alone. Change: waitUntil is cut by the guard too, so that what falls due is answered.

--- a/internal/gateway/guarded.go
+++ b/internal/gateway/guarded.go
@@ -55,12 +55,15 @@
 // is never waited for longer than it is owed.
 func (g *Gateway) timeClient(l *clients.Link, at time.Duration) {
 	if l.Incomplete() {
-		at = g.guard.Wait(at, max(l.Heard(), l.Began), clients.OwedWithin)
+		at = g.guard.Wait(at, lastWord(l), clients.OwedWithin)
 	}
 	l.Timer = at
 	g.setTimer(timerClient, uint64(l.Conn), at)
 }
 
+// lastWord is the time from which a client that has stopped is owed an error or a close.
+func lastWord(l *clients.Link) time.Duration { return max(l.Heard(), l.Began) }
+
 // untimeClient has a client connection end by nothing but its request.
 func (g *Gateway) untimeClient(l *clients.Link) {
 	l.Timer = 0
@@ -77,7 +80,7 @@
 	if l.Timer == 0 || !l.Incomplete() {
 		return
 	}
-	if at := g.guard.Wait(l.Timer, max(l.Heard(), l.Began), clients.OwedWithin); at < l.Timer {
+	if at := g.guard.Wait(l.Timer, lastWord(l), clients.OwedWithin); at < l.Timer {
 		g.timeClient(l, at)
 	}
 }
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -66,10 +66,11 @@
 // waitUntil is the time by which the request that is coming must be whole, or go on. In a planned end half a request is answered
 // before SIGKILL, so that the process can end by itself.
 func (g *Gateway) waitUntil(l *clients.Link) time.Duration {
+	until := l.Until()
 	if g.stopping {
-		return min(l.Until(), g.killAt-endBeforeKill)
+		until = min(until, g.killAt-endBeforeKill)
 	}
-	return l.Until()
+	return g.guard.Wait(until, lastWord(l), clients.OwedWithin)
 }
 
 // lingerUntil is the time until which the end of a connection waits for its client's own.
