--- a/internal/lab/virtual/loop.go
+++ b/internal/lab/virtual/loop.go
@@ -9,8 +9,6 @@
 	"slices"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"thymebend/internal/loop"
 )
 
@@ -88,6 +86,18 @@
 	muted  bool
 }
 
+// more is told by the loop to itself: the end of what comes lies behind what was just read.
+const more loop.Kind = 255
+
+type timer struct {
+	key loop.Timer
+	at  time.Duration
+	seq uint64
+	pos int
+}
+
+type timerHeap []*timer
+
 // NewLoop starts a process.
 func NewLoop(sim *Sim, net *Net, silent *bool, onExit func(error)) *Loop {
 	return &Loop{sim: sim, net: net, socks: make(map[loop.Conn]*socket), accepted: firstAccepted, byKey: make(map[loop.Timer]*timer),
@@ -95,87 +105,6 @@
 		silent: silent, onExit: onExit, Files: func(path string) ([]byte, error) { return nil, os.ErrNotExist }}
 }
 
-func (l *Loop) listen(f loop.Effect) {
-	if f.Path == "" && l.net.listeners[f.Addr] != nil {
-		l.tell(loop.Event{Kind: loop.Broken, Conn: f.Conn, Err: unix.EADDRINUSE})
-		return
-	}
-	ready := func() { l.wake(l.sim.Now()) }
-	if f.Path != "" {
-		l.hold(&port{conn: f.Conn, urgent: f.Urgent, Listener: l.net.ListenUnix(f.Path, ready)})
-	} else {
-		l.hold(&port{conn: f.Conn, urgent: f.Urgent, Listener: l.net.Listen(f.Addr, backlog, l.silent, ready)})
-	}
-}
-
-// hold gives this process a listening socket, perhaps beside others.
-func (l *Loop) hold(p *port) {
-	p.loop = l
-	l.ports[p.conn] = p
-	p.holders = append(p.holders, p)
-	p.ready = func() {
-		for _, h := range slices.Clone(p.holders) {
-			h.loop.wake(l.sim.Now())
-		}
-	}
-	l.tell(loop.Event{Kind: loop.Listening, Conn: p.conn})
-	if p.conn == loop.Listener && l.Listens != nil {
-		l.Listens()
-	}
-}
-
-// let ends this process's part in a listening socket, which closes with the last.
-func (l *Loop) let(p *port) {
-	delete(l.ports, p.conn)
-	if p.holders = slices.DeleteFunc(p.holders, func(h *port) bool { return h == p }); len(p.holders) == 0 && p.flying == 0 {
-		p.Close()
-	}
-}
-
-// pass writes data on a Unix socket with others beside it.
-func (l *Loop) pass(s *socket, f loop.Effect) {
-	var rights []right
-	for _, c := range f.Give {
-		if p := l.ports[c]; p != nil {
-			p.flying++
-			rights = append(rights, right{ln: p.Listener})
-		} else if given := l.socks[c]; given != nil {
-			rights = append(rights, right{end: given.end})
-		}
-	}
-	if len(rights) != len(f.Give) || len(s.out) > 0 || s.end.reset || s.end.closed {
-		l.fail(s, unix.EPIPE)
-		return
-	}
-	for _, c := range f.Give {
-		if given := l.socks[c]; given != nil {
-			delete(l.socks, c)
-			given.end.ready = nil
-		}
-	}
-	n, err := s.end.Pass(f.Data, rights)
-	if err != nil {
-		l.fail(s, err)
-		return
-	}
-	l.write(s, f.Data[n:])
-}
-
-// received gives this process the sockets that came beside what was read.
-func (l *Loop) received(e *End) (passed []loop.Conn) {
-	for _, r := range e.rights {
-		l.accepted++
-		passed = append(passed, l.accepted)
-		if r.ln != nil {
-			l.offered[l.accepted] = r.ln
-			continue
-		}
-		l.add(&socket{conn: l.accepted, end: r.end, muted: true})
-	}
-	e.rights = nil
-	return passed
-}
-
 // listening returns the open listening sockets in order.
 func (l *Loop) listening() []*port {
 	return slices.SortedFunc(maps.Values(l.ports), func(a, b *port) int { return cmp.Compare(a.conn, b.conn) })
@@ -412,9 +341,6 @@
 	}
 }
 
-// more is told by the loop to itself: the end of what comes lies behind what was just read.
-const more loop.Kind = 255
-
 // readOn is the real loop's.
 func (l *Loop) readOn(e *loop.Event) bool {
 	s := l.socks[e.Conn]
@@ -563,136 +489,16 @@
 	return len(l.socks) + len(l.ports) + len(l.offered) + len(l.datagrams) + ownFiles
 }
 
-func (l *Loop) accept(p *port, most int) {
-	for range min(cmp.Or(most, mostAccept), mostAccept) {
-		if len(p.backlog) == 0 {
-			l.tell(loop.Event{Kind: loop.Drained, Conn: p.conn})
-			return
-		}
-		if l.full() {
-			l.tell(loop.Event{Kind: loop.AcceptFailed, Conn: p.conn, Err: unix.EMFILE})
-			return
-		}
-		l.accepted++
-		l.add(&socket{conn: l.accepted, end: p.Accept(), urgent: p.urgent})
-		l.tell(loop.Event{Kind: loop.Accepted, Conn: l.accepted, Via: p.conn})
-	}
-}
-
-func (l *Loop) add(s *socket) {
-	l.seq++
-	s.seq = l.seq
-	l.socks[s.conn] = s
-	s.end.ready = func() {
-		if l.socks[s.conn] != s || !s.isReady() {
-			return
-		}
-		if s.since == 0 {
-			l.seq++
-			s.since = l.seq
-		}
-		l.heat(s)
-		l.wake(l.sim.Now())
-	}
-	if s.isReady() { // what came before it was accepted
-		l.heat(s)
-	}
-}
-
-func (l *Loop) dial(f loop.Effect) {
-	if f.Path != "" {
-		end, err := l.net.DialUnix(f.Path)
-		if err != nil {
-			l.tell(loop.Event{Kind: loop.Broken, Conn: f.Conn, Err: err})
-			return
-		}
-		l.add(&socket{conn: f.Conn, end: end, urgent: f.Urgent})
-		l.tell(loop.Event{Kind: loop.Connected, Conn: f.Conn})
-		return
-	}
-	if l.full() {
-		l.tell(loop.Event{Kind: loop.Broken, Conn: f.Conn, Err: unix.EMFILE})
-		return
-	}
-	s := &socket{conn: f.Conn, connecting: true, urgent: f.Urgent}
-	s.end = l.net.Dial(f.Addr, l.silent, func(err error) {
-		s.up, s.dialed = true, err
-		s.end.heard()
-	})
-	l.add(s)
-}
-
-func (l *Loop) remove(s *socket) {
-	delete(l.socks, s.conn)
-	s.end.ready = nil
-	s.end.Close()
-}
-
-func (l *Loop) fail(s *socket, err error) {
-	l.remove(s)
-	l.tell(loop.Event{Kind: loop.Broken, Conn: s.conn, Err: err})
-}
-
-func (l *Loop) read(s *socket) {
-	e := s.end
-	switch {
-	case len(e.inbox) > 0:
-		most := readSize
-		if l.sim.Chance(l.Partial) {
-			most = 1 + l.sim.Rand.IntN(len(e.inbox))
-		}
-		data := append([]byte(nil), e.Read(most)...)
-		l.tell(loop.Event{Kind: loop.Data, Conn: s.conn, Data: data, Passed: l.received(e)})
-		if e.fin {
-			l.tell(loop.Event{Kind: more, Conn: s.conn})
-		}
-	case e.reset:
-		l.fail(s, unix.ECONNRESET)
-	case e.fin:
-		l.tell(loop.Event{Kind: loop.EOF, Conn: s.conn})
-	default:
-		l.tell(loop.Event{Kind: loop.Drained, Conn: s.conn})
-	}
-}
-
-func (l *Loop) write(s *socket, data []byte) {
-	waiting := len(s.out) > 0
-	s.out = append(s.out, data...)
-	if !waiting {
-		l.flush(s)
-	}
-}
-
-func (l *Loop) flush(s *socket) {
-	for len(s.out) > 0 {
-		n, err := s.end.Write(s.out)
-		if err == unix.EAGAIN {
-			return
-		}
-		if err != nil {
-			l.fail(s, err)
-			return
-		}
-		s.out = s.out[:copy(s.out, s.out[n:])]
-	}
-	l.tell(loop.Event{Kind: loop.Flushed, Conn: s.conn})
-}
-
-type timer struct {
-	key loop.Timer
-	at  time.Duration
-	seq uint64
-	pos int
-}
-
-type timerHeap []*timer
-
 func (h timerHeap) Len() int { return len(h) }
+
 func (h timerHeap) Less(i, j int) bool {
 	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
 }
+
 func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i]; h[i].pos, h[j].pos = i, j }
-func (h *timerHeap) Push(x any)   { t := x.(*timer); t.pos = len(*h); *h = append(*h, t) }
+
+func (h *timerHeap) Push(x any) { t := x.(*timer); t.pos = len(*h); *h = append(*h, t) }
+
 func (h *timerHeap) Pop() any {
 	old := *h
 	t := old[len(old)-1]
