--- a/cmd/thymebend/crossing_test.go
+++ b/cmd/thymebend/crossing_test.go
@@ -82,7 +82,7 @@
 // request waits for a first attempt: nothing of it is sent on when a host comes.
 func TestLeavingIsSeenOnALinkThatIsNotRead(t *testing.T) {
 	for name, raw := range map[string]string{
-		"sent far ahead":          view("gone", 25000) + strings.Repeat(view("more", 1900), 1100),
+		"sent far ahead": view("gone", 25000) + strings.Repeat(view("more", 1900), 1100),
 		// More than the gateway takes in before there is a host: the rest lies unread.
 		"in the middle of a body": strings.NewReplacer("Content-Length: 184320", "Content-Length: 200000", "2500m", "25000m").Replace(lodge("gone", strings.Repeat("x", 180<<10))),
 	} {
