--- a/internal/gateway/stopped_test.go
+++ b/internal/gateway/stopped_test.go
@@ -148,3 +148,16 @@
 		t.Errorf("ends %v, %d hosts out of rotation", f.Ends, f.OutOfRotation)
 	}
 }
+
+// A connection that comes up in the round in which its client's time is over, before its timer is told, carries nothing.
+func TestNothingIsWrittenAfterTheClientsTime(t *testing.T) {
+	r := newRig(t, "subscribe", object(1, true, entry(1, "up", 0)))
+	r.request(0, 0)
+	r.turn()
+	host := r.connecting(hostAddr(1))
+	r.now += 2100 * time.Millisecond // of 2 s; sockets are told before timers
+	r.connected(host)
+	if len(r.written[host]) > 0 || len(r.g.Violations()) > 0 {
+		t.Errorf("written %q, violations %v", r.written[host], r.g.Violations())
+	}
+}
