Log which connection carries an attempt, and count bytes that belong to no request

Cause: the incident's logs do not say which connection carried a request, nor what it carried before. Change: debug lines for each written attempt and every end of an attempt; a warning and the end "unsolicited" for bytes that belong to no request; upstream in /ops/stats.

--- a/internal/admin/stats.go
+++ b/internal/admin/stats.go
@@ -18,10 +18,21 @@
 	Rejections map[string]uint64 `json:"refusals"`
 	// Retries counts attempts after the first attempt of a request.
 	Retries uint64 `json:"retries"`
+	// Upstream describes the use of connections to endpoints.
+	Upstream Upstream `json:"upstream"`
 	// Violations counts, by invariant, the effects that were suppressed because they would have broken the invariant.
 	Violations map[string]uint64 `json:"violations"`
 }
 
+// Upstream counts how connections to endpoints are used.
+type Upstream struct {
+	Opened uint64 `json:"opened"` // connections dialled
+	Reused uint64 `json:"reused"` // attempts on a connection that had carried another one
+	// UnsolicitedMaxMS is the longest time between a connection's last byte and bytes after it that belong to no
+	// request. Stats.Ends counts such connections as "unsolicited".
+	UnsolicitedMaxMS int64 `json:"unsolicited_max_ms"`
+}
+
 // Encode returns the HTTP response with the statistics as JSON.
 func (s Stats) Encode() []byte { return jsonResponse(s) }
 
--- a/internal/gateway/admin.go
+++ b/internal/gateway/admin.go
@@ -38,7 +38,12 @@
 		Ends:            make(map[string]uint64),
 		Rejections:      make(map[string]uint64),
 		Retries:         a.stats.retries,
-		Violations:      a.invariants.Counts(),
+		Upstream: admin.Upstream{
+			Opened:           a.stats.upstream.opened,
+			Reused:           a.stats.upstream.reused,
+			UnsolicitedMaxMS: a.stats.upstream.latest.Milliseconds(),
+		},
+		Violations: a.invariants.Counts(),
 	}
 	for end, count := range a.stats.ends {
 		if count > 0 {
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -123,6 +123,7 @@
 	if conn := a.pool.Acquire(att.endpoint); conn != nil {
 		a.stopTimer(timerUpstream, uint64(conn.ID))
 		a.bind(att, conn)
+		a.stats.upstream.reused++
 		a.writeRequest(att, loop.WriteIfIdle)
 		return
 	}
@@ -135,6 +136,7 @@
 		a.dropConn(oldest, ReasonIdleClosed)
 	}
 	conn := a.pool.Open(att.endpoint)
+	a.stats.upstream.opened++
 	a.bind(att, conn)
 	connectDeadline := a.now + a.cfg.Settings.Gateway.ConnectTimeout
 	a.setTimer(timerAttempt, att.id, min(att.deadline, connectDeadline))
@@ -150,6 +152,7 @@
 // bind assigns a connection to an attempt.
 func (a *attemptTable) bind(att *attempt, conn *upstream.Conn) {
 	att.conn = conn
+	conn.Requests++
 	a.byConn[conn.ID] = att
 }
 
@@ -160,6 +163,7 @@
 		return
 	}
 	att.conn.Phase = upstream.Writing
+	a.logAttemptWritten(att)
 	if req := att.request; req.upload != nil {
 		// The head is written alone: if the connection turns out to be dead, no part of the body is lost.
 		a.noteProgress(att, false)
@@ -181,6 +185,7 @@
 // end ends an attempt and closes its connection if it still has one, so that a late response cannot reach
 // another request. The balancer is notified at the end of the Step.
 func (a *attemptTable) end(att *attempt, end TerminationReason, resp *upstream.Response) {
+	a.logAttemptEnd(att, end, resp)
 	if conn := att.conn; conn != nil {
 		a.unbind(att)
 		a.dropConn(conn, end)
@@ -197,9 +202,6 @@
 	req.running = slices.DeleteFunc(req.running, func(running *attempt) bool { return running == att })
 	a.requests.release(req)
 	a.stats.countEnd(end)
-	if end != ReasonServed && end != ReasonRejected {
-		a.logAttemptEnd(att, end)
-	}
 	a.ended = append(a.ended, attemptEnd{attempt: att, reason: end, response: resp})
 }
 
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -23,6 +23,8 @@
 	dispatchNeeded bool // the balancer was notified of something since its last Dispatch
 	invariants     invariant.Checker
 	stats          statistics
+
+	unsolicitedLogged time.Duration // when logUnsolicited last logged a warning; 0 before the first
 }
 
 // pauseListener stops accepting on the admin or hot-restart socket for acceptPauseDuration. This keeps the loop
--- a/internal/gateway/logfields.go
+++ b/internal/gateway/logfields.go
@@ -8,6 +8,7 @@
 	fieldAlive             = "alive"
 	fieldAttempt           = "attempt" // index of an attempt, 0 for the first
 	fieldAttempts          = "attempts"
+	fieldBegin             = "begin" // the first bytes of received data
 	fieldBytes             = "bytes"
 	fieldCause             = "cause"
 	fieldClass             = "class"
@@ -15,6 +16,7 @@
 	fieldClientTimeout     = "client_timeout"
 	fieldClockSkew         = "clock_skew"
 	fieldCluster           = "cluster"
+	fieldCount             = "count" // events of this kind since the start of the process
 	fieldDetail            = "detail"
 	fieldDiscovery         = "discovery"
 	fieldDownstreamConn    = "downstream_conn" // number of a connection
--- a/internal/gateway/logging.go
+++ b/internal/gateway/logging.go
@@ -5,6 +5,7 @@
 
 	"thymebend/internal/downstream"
 	"thymebend/internal/invariant"
+	"thymebend/internal/upstream"
 )
 
 // logViolation logs an effect that was suppressed because it would break an invariant.
@@ -62,11 +63,51 @@
 		Uint64(fieldEndpoint, uint64(att.endpoint)).Dur(fieldTimeLeft, att.deadline-c.now).Msg("attempt begins")
 }
 
-// logAttemptEnd logs why an attempt failed.
-func (c *core) logAttemptEnd(att *attempt, end TerminationReason) {
-	c.log.Debug().Uint32(fieldRequest, uint32(att.request.id)).Str(fieldID, att.request.ID).
-		Int(fieldAttempt, att.number).Stringer(fieldEnd, end).Dur(fieldAfter, c.now-att.startedAt).
-		Msg("attempt ended")
+// logAttemptWritten logs which upstream connection carries an attempt, and how long that connection was silent before.
+func (c *core) logAttemptWritten(att *attempt) {
+	line := c.log.Debug()
+	if att.conn.LastByte > 0 {
+		line = line.Dur(fieldSilent, c.now-att.conn.LastByte)
+	}
+	line.Uint32(fieldRequest, uint32(att.request.id)).Str(fieldID, att.request.ID).
+		Int(fieldAttempt, att.number).Uint64(fieldEndpoint, uint64(att.endpoint)).
+		Uint64(fieldUpstreamConn, uint64(att.conn.ID)).Int(fieldRequestsBefore, att.conn.Requests-1).
+		Msg("attempt is written")
+}
+
+// logAttemptEnd logs how an attempt ended, and on which connection. resp is nil without a response.
+func (c *core) logAttemptEnd(att *attempt, end TerminationReason, resp *upstream.Response) {
+	line := c.log.Debug()
+	if att.conn != nil {
+		line = line.Uint64(fieldUpstreamConn, uint64(att.conn.ID))
+	}
+	if resp != nil {
+		line = line.Int(fieldStatus, resp.Status)
+	}
+	line.Uint32(fieldRequest, uint32(att.request.id)).Str(fieldID, att.request.ID).
+		Int(fieldAttempt, att.number).Uint64(fieldEndpoint, uint64(att.endpoint)).Stringer(fieldEnd, end).
+		Dur(fieldAfter, c.now-att.startedAt).Msg("attempt ended")
+}
+
+// unsolicitedLogInterval is the minimum time between two warnings of unsolicited bytes.
+const unsolicitedLogInterval = time.Second
+
+// unsolicitedPrefix is the number of unsolicited bytes that are logged: enough for a status line.
+const unsolicitedPrefix = 40
+
+// logUnsolicited logs bytes of an endpoint that belong to no request, as a warning at most once per
+// unsolicitedLogInterval and otherwise at level debug.
+func (c *core) logUnsolicited(conn *upstream.Conn, data []byte, after time.Duration) {
+	line := c.log.Debug()
+	if c.unsolicitedLogged == 0 || c.now-c.unsolicitedLogged >= unsolicitedLogInterval {
+		c.unsolicitedLogged = c.now
+		line = c.log.Warn()
+	}
+	line.Uint64(fieldUpstreamConn, uint64(conn.ID)).Uint64(fieldEndpoint, uint64(conn.Endpoint)).
+		Int(fieldRequestsBefore, conn.Requests).Dur(fieldAfter, after).Int(fieldBytes, len(data)).
+		Bytes(fieldBegin, data[:min(len(data), unsolicitedPrefix)]).
+		Uint64(fieldCount, c.stats.ends[ReasonUnsolicitedData]).
+		Msg("an endpoint sent bytes that belong to no request")
 }
 
 // logIncomplete logs that a request was not received completely in time.
--- a/internal/gateway/logging_test.go
+++ b/internal/gateway/logging_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -37,6 +38,33 @@
 	}
 }
 
+// Guards against responses that reach another request without a trace: the log must tell which connection carried an
+// attempt and what it carried before, and bytes that belong to no request must be counted, and warned of once a second.
+func TestUseOfUpstreamConnectionsIsLoggedAndCounted(t *testing.T) {
+	r := newRig(t, "subscribe", listLine(1, true, listEntry(1, "up", 0)))
+	r.g.log = zerolog.New(&r.log).Level(zerolog.DebugLevel)
+	r.sendRequest(0, 0)
+	r.endTurn()
+	conn := r.pendingConn(endpointAddr(1))
+	r.establish(conn)
+	r.respond(conn, "200 OK")
+	r.endTurn()
+	r.now += 7 * time.Millisecond
+	r.step(loop.Event{Kind: loop.Data, Conn: conn, Data: []byte("HTTP/1.1 200 OK\r\n")})
+	for _, want := range []string{
+		`"requests_before":0,"message":"attempt is written"`, `"end":"served"`,
+		`"level":"warn","upstream_conn":`, `"requests_before":1,"after":7,"bytes":17,"begin":"HTTP/1.1 200 OK\r\n","count":1`,
+	} {
+		if !strings.Contains(r.log.String(), want) {
+			t.Errorf("no %s in the log:\n%s", want, r.log.String())
+		}
+	}
+	stats := r.g.admin.statsReport()
+	if stats.Ends["unsolicited"] != 1 || stats.Upstream.Opened != 1 || stats.Upstream.UnsolicitedMaxMS != 7 {
+		t.Errorf("ends %v, upstream %+v: want 1 \"unsolicited\", 1 connection opened, 7 ms", stats.Ends, stats.Upstream)
+	}
+}
+
 // Rejections by the gateway itself must be counted in /ops/stats.
 func TestRejectionsAreCountedByReason(t *testing.T) {
 	r := newRig(t, "subscribe", listLine(1, true, listEntry(1, "up", 0)))
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -99,6 +99,7 @@
 		t.emit(loop.Effect{Op: loop.Read, Conn: e.Conn})
 	case loop.Data:
 		r.received += len(e.Data)
+		r.upstream.LastByte = t.now
 		r.upstream.FeedStream(e.Data)
 		r.buffered += len(e.Data)
 		t.buffered += len(e.Data)
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "thymebend/internal/balancer"
+import (
+	"time"
+
+	"thymebend/internal/balancer"
+)
 
 // maxCountedClasses limits the number of classes with counters, including classes that are no longer in the
 // settings.
@@ -15,6 +19,14 @@
 	ends            [reasonCount]uint64 // ends of attempts and of downstream connections, by reason
 	rejections      [rejectionReasonCount]uint64
 	retries         uint64 // attempts beyond a request's first
+	upstream        upstreamCounts
+}
+
+// upstreamCounts counts how upstream connections are used.
+type upstreamCounts struct {
+	opened uint64        // connections dialled
+	reused uint64        // attempts that were assigned to a connection that had carried another one
+	latest time.Duration // longest time between a connection's last byte and unsolicited bytes after it
 }
 
 // classCounts counts the final results of the requests of one class.
--- a/internal/gateway/termination.go
+++ b/internal/gateway/termination.go
@@ -37,6 +37,7 @@
 	ReasonWatchSilent     // the watch missed its heartbeat
 	ReasonMalformedUpdate // the watch delivered an invalid list
 	ReasonWatchReplaced   // another watch replaced it
+	ReasonUnsolicitedData // the endpoint sent bytes on an upstream connection that belong to no request
 	reasonCount
 )
 
@@ -91,6 +92,7 @@
 		ReasonWatchSilent:       "list silent",
 		ReasonMalformedUpdate:   "list garbled",
 		ReasonWatchReplaced:     "list replaced",
+		ReasonUnsolicitedData:   "unsolicited",
 	}
 	if int(r) < len(names) {
 		return names[r]
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -46,8 +46,11 @@
 
 // handleData processes bytes of a response.
 func (a *attemptTable) handleData(conn *upstream.Conn, att *attempt, data []byte) {
+	previousByte := conn.LastByte
+	conn.LastByte = a.now
 	if att == nil {
-		a.dropConn(conn, ReasonMalformedResponse) // bytes that belong to no request
+		a.reportUnsolicited(conn, data, a.now-previousByte)
+		a.dropConn(conn, ReasonUnsolicitedData)
 		return
 	}
 	resp, err := conn.Feed(data)
@@ -64,6 +67,14 @@
 	}
 }
 
+// reportUnsolicited counts and logs bytes of an endpoint that belong to no request. after is the time since the
+// connection's previous byte.
+func (a *attemptTable) reportUnsolicited(conn *upstream.Conn, data []byte, after time.Duration) {
+	a.stats.countEnd(ReasonUnsolicitedData)
+	a.stats.upstream.latest = max(a.stats.upstream.latest, after)
+	a.logUnsolicited(conn, data, after)
+}
+
 // connBroke ends the attempt on a connection that broke or was closed by its endpoint.
 func (a *attemptTable) connBroke(conn *upstream.Conn, att *attempt, e loop.Event) {
 	if att == nil {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -1,6 +1,8 @@
 package upstream
 
 import (
+	"time"
+
 	"thymebend/internal/balancer"
 	"thymebend/internal/http1"
 	"thymebend/internal/loop"
@@ -24,9 +26,14 @@
 	ID       loop.Conn
 	Endpoint balancer.EndpointID
 	Phase    Phase
+	Requests int           // requests that were bound to this connection
+	LastByte time.Duration // when the last byte of the endpoint arrived; 0 before the first
 	reader   http1.Reader
 }
 
+// Reused reports whether the connection carried another request before the current one.
+func (c *Conn) Reused() bool { return c.Requests > 1 }
+
 // Feed adds received bytes and returns the endpoint's response if it is complete, or nil.
 func (c *Conn) Feed(data []byte) (*Response, error) {
 	c.reader.Feed(data)
