Keep the time of sending when reading pauses again after a short read

Cause: arrivals.pause kept the time of a short read just before it; the next read, over 5 ms later, was then taken for new bytes, although nothing could be read in between. Change: a pause forgets the short read, so the earliest time of sending stays.

--- a/internal/downstream/arrivals.go
+++ b/internal/downstream/arrivals.go
@@ -51,6 +51,7 @@
 	if !a.backlog.pending(now) {
 		a.backlog = backlog{active: true, since: now, nextSince: now}
 	}
+	a.backlog.lastShortRead = 0 // the read that may follow within markInterval comes only after the pause
 }
 
 // add records that n bytes were read now. A read that did not fill its buffer is taken to have emptied the kernel's
--- a/internal/downstream/arrivals_test.go
+++ b/internal/downstream/arrivals_test.go
@@ -110,3 +110,15 @@
 		t.Errorf("sent at %v, want 500ms, when reading was paused", got)
 	}
 }
+
+// Guards against a client timeout that starts anew because reading is paused again directly after a short read.
+func TestPauseAfterAShortReadKeepsTheTimeOfSending(t *testing.T) {
+	var a arrivals
+	a.pause(ms(100))
+	a.add(ms(500), 1000)
+	a.pause(ms(501))
+	a.add(ms(520), 1000)
+	if got := a.sentAt(a.bytesReceived); got != ms(100) {
+		t.Errorf("sent at %v, want 100ms, when reading was paused first", got)
+	}
+}
