Reuse a connection to an endpoint only after it was silent for its quiet time

Callers saw: status 200 with the body of another request, and bids that ran twice (incident of 2026-12-04). Cause: responded and relayTable.flushed gave a connection back at once, and attemptTable.start wrote the next request 0.03 to 0.12 ms after the last byte. HTTP/1.1 responses name no request, so bytes that the host sent later were read as the next response; the copy of a rejection with X-Never-Ran made the balancer send a bid again that was running. Evidence: TestLateSecondResponseReachesNoOtherRequest failed before (82 to 192 of 360 wrong at 1 and 5 ms, 3 to 12 executed twice); its log shows each wrong response on a connection in use again. Change: a connection must have been silent for 30 ms before it carries another request. An attempt waits that long at most; bytes in that time close the connection and raise its endpoint's quiet time to four times their delay (0.25 to 2 s) for a minute, with new connections instead of waits. Why it works: what comes within the quiet time meets a connection on which nothing is awaited. Result: the test passes 4 of 4 with the race detector. TestClientTimeoutCountsFromLastByte waits for the quiet time and demands the exact time left, as before.

--- a/internal/admin/stats.go
+++ b/internal/admin/stats.go
@@ -28,6 +28,7 @@
 type Upstream struct {
 	Opened uint64 `json:"opened"` // connections dialled
 	Reused uint64 `json:"reused"` // attempts on a connection that had carried another one
+	Waited uint64 `json:"waited"` // attempts that waited for the end of a connection's quiet time
 	// UnsolicitedMaxMS is the longest time between a connection's last byte and bytes after it that belong to no
 	// request. Stats.Ends counts such connections as "unsolicited".
 	UnsolicitedMaxMS int64 `json:"unsolicited_max_ms"`
--- a/internal/gateway/admin.go
+++ b/internal/gateway/admin.go
@@ -41,6 +41,7 @@
 		Upstream: admin.Upstream{
 			Opened:           a.stats.upstream.opened,
 			Reused:           a.stats.upstream.reused,
+			Waited:           a.stats.upstream.waited,
 			UnsolicitedMaxMS: a.stats.upstream.latest.Milliseconds(),
 		},
 		Violations: a.invariants.Counts(),
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -114,17 +114,15 @@
 	return att
 }
 
-// start writes an attempt on an idle connection to its endpoint, or opens a new connection for it.
+// start writes an attempt on an idle connection to its endpoint, now or after the connection's quiet time, or opens a new
+// connection for it.
 func (a *attemptTable) start(att *attempt) {
 	if !a.discovery.isReady(att.endpoint) {
 		a.end(att, ReasonEndpointLeft, nil)
 		return
 	}
-	if conn := a.pool.Acquire(att.endpoint); conn != nil {
-		a.stopTimer(timerUpstream, uint64(conn.ID))
-		a.bind(att, conn)
-		a.stats.upstream.reused++
-		a.writeRequest(att, loop.WriteIfIdle)
+	if conn, writableAt := a.pool.Acquire(att.endpoint, a.now); conn != nil {
+		a.reuse(att, conn, writableAt)
 		return
 	}
 	if a.pool.Full() {
@@ -143,6 +141,34 @@
 	a.emit(loop.Effect{Op: loop.Dial, Conn: conn.ID, Addr: a.discovery.endpoints.Find(att.endpoint).Addr})
 }
 
+// reuse writes an attempt on an idle connection, or makes it wait for the end of the connection's quiet time.
+func (a *attemptTable) reuse(att *attempt, conn *upstream.Conn, writableAt time.Duration) {
+	a.bind(att, conn)
+	if writableAt > a.now {
+		conn.Phase = upstream.Quiet
+		a.stats.upstream.waited++
+		a.setTimer(timerUpstream, uint64(conn.ID), writableAt)
+		return
+	}
+	a.stopTimer(timerUpstream, uint64(conn.ID))
+	a.writeRequest(att, loop.WriteIfIdle)
+}
+
+// quietTimeOver writes the attempt that has waited for a connection. Its wait says nothing about its endpoint.
+func (a *attemptTable) quietTimeOver(conn *upstream.Conn) {
+	att := a.byConn[conn.ID]
+	att.startedAt = a.now
+	a.writeRequest(att, loop.WriteIfIdle)
+}
+
+// restart gives an attempt of which nothing was written another connection, since its own is unusable.
+func (a *attemptTable) restart(att *attempt, end TerminationReason) {
+	conn := att.conn
+	a.unbind(att)
+	a.dropConn(conn, end)
+	a.start(att)
+}
+
 // noteProgress stores the progress of an upload, to be reported to the balancer at the end of the Step. done
 // means that the last byte of the body has been written.
 func (a *attemptTable) noteProgress(att *attempt, done bool) {
@@ -152,7 +178,6 @@
 // bind assigns a connection to an attempt.
 func (a *attemptTable) bind(att *attempt, conn *upstream.Conn) {
 	att.conn = conn
-	conn.Requests++
 	a.byConn[conn.ID] = att
 }
 
@@ -163,6 +188,9 @@
 		return
 	}
 	att.conn.Phase = upstream.Writing
+	if att.conn.Requests++; att.conn.Requests > 1 {
+		a.stats.upstream.reused++
+	}
 	a.logAttemptWritten(att)
 	if req := att.request; req.upload != nil {
 		// The head is written alone: if the connection turns out to be dead, no part of the body is lost.
@@ -183,12 +211,17 @@
 }
 
 // end ends an attempt and closes its connection if it still has one, so that a late response cannot reach
-// another request. The balancer is notified at the end of the Step.
+// another request. A connection on which nothing of the attempt was written stays open if it was in its quiet time. The
+// balancer is notified at the end of the Step.
 func (a *attemptTable) end(att *attempt, end TerminationReason, resp *upstream.Response) {
 	a.logAttemptEnd(att, end, resp)
 	if conn := att.conn; conn != nil {
 		a.unbind(att)
-		a.dropConn(conn, end)
+		if conn.Phase == upstream.Quiet && a.mayKeepIdle(conn) {
+			a.keepIdle(conn)
+		} else {
+			a.dropConn(conn, end)
+		}
 	}
 	a.stopTimer(timerAttempt, att.id)
 	delete(a.byID, att.id)
@@ -212,6 +245,8 @@
 	case att == nil:
 	case att.conn.Phase == upstream.Connecting:
 		a.end(att, ReasonConnectTimeout, nil)
+	case att.conn.Phase == upstream.Quiet:
+		a.end(att, ReasonRequestOver, nil)
 	case att.conn.Phase == upstream.Writing:
 		a.end(att, ReasonResetBeforeSent, nil)
 	default:
--- /dev/null
+++ b/internal/gateway/quiettime_test.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"thymebend/internal/loop"
+	"thymebend/internal/upstream"
+)
+
+// waitingForQuiet returns a rig in which a request waits for the quiet time of the only connection to the only endpoint.
+func waitingForQuiet(t *testing.T) (r *rig, conn loop.Conn) {
+	t.Helper()
+	r = newRig(t, "subscribe", listLine(1, true, listEntry(1, "up", 0)))
+	r.sendRequest(0, 0)
+	r.endTurn()
+	conn = r.pendingConn(endpointAddr(1))
+	r.establish(conn)
+	r.respond(conn, "200 OK")
+	r.endTurn()
+	r.sendRequest(0, 0)
+	r.endTurn()
+	if n := r.requestsWritten(endpointAddr(1)); n != 1 {
+		t.Fatalf("%d requests written, want 1: the second has to wait", n)
+	}
+	if phase := r.g.attempts.pool.Find(conn).Phase; phase != upstream.Quiet {
+		t.Fatalf("the connection is in phase %d, want Quiet", phase)
+	}
+	return r, conn
+}
+
+// Guards against a request that waits for a quiet connection for ever, or is not counted from the write.
+func TestRequestIsWrittenAfterTheQuietTime(t *testing.T) {
+	r, conn := waitingForQuiet(t)
+	r.advance(upstream.MinQuietTime)
+	if n := bytes.Count(r.written[conn], []byte(" HTTP/1.1\r\n")); n != 2 {
+		t.Fatalf("%d requests on the connection, want 2", n)
+	}
+	r.respond(conn, "200 OK")
+	if got := r.written[r.lastClient]; !bytes.HasPrefix(got, []byte("HTTP/1.1 200")) {
+		t.Errorf("the client received %q", got)
+	}
+	if up := r.g.stats.upstream; up.waited != 1 || up.reused != 1 || up.opened != 1 {
+		t.Errorf("upstream counts %+v, want 1 waited, 1 reused, 1 opened", up)
+	}
+}
+
+// Guards against writing on a connection that turns out to be unusable while an attempt waits for it.
+func TestUnusableQuietConnectionIsReplaced(t *testing.T) {
+	for name, e := range map[string]loop.Event{
+		"bytes": {Kind: loop.Data, Data: []byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")},
+		"end":   {Kind: loop.EOF},
+		"reset": {Kind: loop.Broken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, conn := waitingForQuiet(t)
+			e.Conn = conn
+			r.step(e)
+			if !r.closed[conn] {
+				t.Error("the connection stays open")
+			}
+			replacement := r.pendingConn(endpointAddr(1))
+			r.establish(replacement)
+			r.advance(upstream.MinQuietTime)
+			if n := bytes.Count(r.written[replacement], []byte(" HTTP/1.1\r\n")); n != 1 {
+				t.Errorf("%d requests on the new connection, want 1", n)
+			}
+			if got := r.written[r.lastClient]; len(got) > 0 {
+				t.Errorf("the client received %q before its request was answered", got)
+			}
+			distrusted := name == "bytes"
+			if got := r.g.stats.ends[ReasonUnsolicitedData] == 1; got != distrusted {
+				t.Errorf("unsolicited bytes counted: %v, want %v", got, distrusted)
+			}
+		})
+	}
+}
+
+// Guards against writing a request that must not start any more when the quiet time ends, and against closing the
+// connection for it.
+func TestRequestThatEndsInTheQuietTimeIsNotWritten(t *testing.T) {
+	r, conn := waitingForQuiet(t)
+	r.step(loop.Event{Kind: loop.EOF, Conn: r.lastClient})
+	r.advance(2 * upstream.MinQuietTime)
+	if n := r.requestsWritten(endpointAddr(1)); n != 1 || r.closed[conn] {
+		t.Errorf("after the client left: %d requests written, want 1; connection closed: %v", n, r.closed[conn])
+	}
+	if phase := r.g.attempts.pool.Find(conn).Phase; phase != upstream.Idle {
+		t.Errorf("the connection is in phase %d, want Idle", phase)
+	}
+}
+
+// Guards against sending to an endpoint that leaves while an attempt waits for a quiet connection to it.
+func TestEndpointThatLeavesInTheQuietTimeGetsNothing(t *testing.T) {
+	r, conn := waitingForQuiet(t)
+	w := r.connectWatch()
+	r.sendLine(w, listLine(2, false, listEntry(1, "draining", 0)))
+	r.advance(2 * upstream.MinQuietTime)
+	if n := r.requestsWritten(endpointAddr(1)); n != 1 || !r.closed[conn] {
+		t.Errorf("%d requests written, want 1; connection closed: %v, want true", n, r.closed[conn])
+	}
+}
+
+// Guards against a request with less time left than the quiet time: it must be answered, and never sent late.
+func TestRequestThatExpiresInTheQuietTimeIsAnswered(t *testing.T) {
+	r := newRig(t, "subscribe", listLine(1, true, listEntry(1, "up", 0)))
+	r.sendRequest(0, 0)
+	r.endTurn()
+	conn := r.pendingConn(endpointAddr(1))
+	r.establish(conn)
+	r.respond(conn, "200 OK")
+	r.endTurn()
+	r.lastClient++
+	r.step(loop.Event{Kind: loop.Accepted, Conn: r.lastClient, AcceptedBy: loop.Listener})
+	r.step(loop.Event{Kind: loop.Data, Conn: r.lastClient, Data: []byte("GET /view HTTP/1.1\r\nHost: h\r\n" +
+		"X-Trace-Id: short\r\nX-Qos: view\r\nX-Expires-In: 10m\r\n\r\n")})
+	r.endTurn()
+	r.advance(2 * time.Second)
+	if n := r.requestsWritten(endpointAddr(1)); n != 1 {
+		t.Errorf("%d requests written, want 1", n)
+	}
+	if got := r.written[r.lastClient]; !bytes.HasPrefix(got, []byte("HTTP/1.1 50")) {
+		t.Errorf("the client received %q, want an error", got)
+	}
+}
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -25,7 +25,8 @@
 // upstreamCounts counts how upstream connections are used.
 type upstreamCounts struct {
 	opened uint64        // connections dialled
-	reused uint64        // attempts that were assigned to a connection that had carried another one
+	reused uint64        // attempts that were written on a connection that had carried another one
+	waited uint64        // attempts that waited for the end of a connection's quiet time
 	latest time.Duration // longest time between a connection's last byte and unsolicited bytes after it
 }
 
--- a/internal/gateway/timers.go
+++ b/internal/gateway/timers.go
@@ -38,7 +38,7 @@
 		if r := g.relays.byConn[loop.Conn(t.ID)]; r != nil {
 			g.relays.timerDue(r)
 		} else {
-			g.attempts.idleTimerDue(loop.Conn(t.ID))
+			g.attempts.connTimerDue(loop.Conn(t.ID))
 		}
 	case timerAttempt:
 		g.attempts.timerDue(t.ID)
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -35,8 +35,7 @@
 		// on another connection.
 		att.request.invariants.AttemptEnded(att.invariantIndex, true)
 		att.invariantIndex = notWritten
-		a.dropConn(conn, ReasonIdleClosed)
-		a.start(att)
+		a.restart(att, ReasonIdleClosed)
 	case loop.Data:
 		a.handleData(conn, att, e.Data)
 	case loop.EOF, loop.Broken:
@@ -48,9 +47,8 @@
 func (a *attemptTable) handleData(conn *upstream.Conn, att *attempt, data []byte) {
 	previousByte := conn.LastByte
 	conn.LastByte = a.now
-	if att == nil {
-		a.reportUnsolicited(conn, data, a.now-previousByte)
-		a.dropConn(conn, ReasonUnsolicitedData)
+	if att == nil || conn.Phase == upstream.Quiet {
+		a.unsolicited(conn, att, data, a.now-previousByte)
 		return
 	}
 	resp, err := conn.Feed(data)
@@ -67,12 +65,19 @@
 	}
 }
 
-// reportUnsolicited counts and logs bytes of an endpoint that belong to no request. after is the time since the
-// connection's previous byte.
-func (a *attemptTable) reportUnsolicited(conn *upstream.Conn, data []byte, after time.Duration) {
+// unsolicited closes a connection on which an endpoint has sent bytes that belong to no request, late after the
+// connection's previous byte, and keeps the endpoint's other connections quiet for longer. An attempt that waits for the
+// connection gets another one; att is nil without one.
+func (a *attemptTable) unsolicited(conn *upstream.Conn, att *attempt, data []byte, late time.Duration) {
 	a.stats.countEnd(ReasonUnsolicitedData)
-	a.stats.upstream.latest = max(a.stats.upstream.latest, after)
-	a.logUnsolicited(conn, data, after)
+	a.stats.upstream.latest = max(a.stats.upstream.latest, late)
+	a.logUnsolicited(conn, data, late)
+	a.pool.Distrust(conn.Endpoint, late, a.now)
+	if att != nil {
+		a.restart(att, ReasonUnsolicitedData)
+		return
+	}
+	a.dropConn(conn, ReasonUnsolicitedData)
 }
 
 // connBroke ends the attempt on a connection that broke or was closed by its endpoint.
@@ -82,6 +87,8 @@
 		return
 	}
 	switch {
+	case conn.Phase == upstream.Quiet:
+		a.restart(att, ReasonIdleClosed)
 	case conn.Phase == upstream.Connecting && e.LocalFailure:
 		a.end(att, ReasonLocalResources, nil)
 	case conn.Phase == upstream.Connecting:
@@ -146,7 +153,7 @@
 }
 
 // endpointsChanged closes the idle connections to endpoints that drain, were removed, have moved or have
-// restarted, and ends the attempts that are still connecting to one. No byte may be written to an endpoint
+// restarted, and ends the attempts at one that are not yet written. No byte may be written to an endpoint
 // after this gateway was notified that it leaves, and an attempt meant for an endpoint before its restart must
 // not reach it in slow start after the restart.
 func (a *attemptTable) endpointsChanged(changed []balancer.EndpointID) {
@@ -160,7 +167,7 @@
 			a.dropConn(conn, ReasonEndpointLeft)
 		}
 	}
-	for _, conn := range a.pool.ConnectingTo(leaving) {
+	for _, conn := range a.pool.UnwrittenTo(leaving) {
 		if att := a.byConn[conn.ID]; att != nil {
 			a.end(att, ReasonEndpointLeft, nil)
 		}
@@ -170,9 +177,15 @@
 // scale returns a duration multiplied by a factor.
 func scale(d time.Duration, factor float64) time.Duration { return time.Duration(float64(d) * factor) }
 
-// idleTimerDue closes an idle connection before its endpoint does.
-func (a *attemptTable) idleTimerDue(c loop.Conn) {
-	if conn := a.pool.Find(c); conn != nil && conn.Phase == upstream.Idle {
+// connTimerDue closes an idle connection before its endpoint does, or ends the quiet time of a connection for which an
+// attempt waits.
+func (a *attemptTable) connTimerDue(c loop.Conn) {
+	conn := a.pool.Find(c)
+	switch {
+	case conn == nil:
+	case conn.Phase == upstream.Idle:
 		a.dropConn(conn, ReasonIdleClosed)
+	case conn.Phase == upstream.Quiet:
+		a.quietTimeOver(conn)
 	}
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -16,6 +16,7 @@
 const (
 	Connecting Phase = iota
 	Idle
+	Quiet    // an attempt waits for the end of the connection's quiet time; nothing of it is written
 	Writing  // a request is being written
 	Awaiting // the request is written and its response is not complete
 	Relaying // a large response is forwarded to the client while it arrives
@@ -26,14 +27,11 @@
 	ID       loop.Conn
 	Endpoint balancer.EndpointID
 	Phase    Phase
-	Requests int           // requests that were bound to this connection
+	Requests int           // requests that were written on this connection, including the current one
 	LastByte time.Duration // when the last byte of the endpoint arrived; 0 before the first
 	reader   http1.Reader
 }
 
-// Reused reports whether the connection carried another request before the current one.
-func (c *Conn) Reused() bool { return c.Requests > 1 }
-
 // Feed adds received bytes and returns the endpoint's response if it is complete, or nil.
 func (c *Conn) Feed(data []byte) (*Response, error) {
 	c.reader.Feed(data)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"thymebend/internal/balancer"
 	"thymebend/internal/http1"
@@ -15,11 +16,15 @@
 	idle       map[balancer.EndpointID][]*Conn // in the order of their release
 	max        int                             // the limit on the number of connections
 	lastConnID loop.Conn                       // the highest number given to a connection
+	quiet      quietTimes
 }
 
 // NewPool returns an empty pool for at most limit connections.
 func NewPool(limit int) *Pool {
-	return &Pool{conns: make(map[loop.Conn]*Conn), idle: make(map[balancer.EndpointID][]*Conn), max: limit}
+	return &Pool{
+		conns: make(map[loop.Conn]*Conn), idle: make(map[balancer.EndpointID][]*Conn), max: limit,
+		quiet: quietTimes{raised: make(map[balancer.EndpointID]raisedQuietTime)},
+	}
 }
 
 // Resize changes the limit. It closes no connection: connections in excess of a lowered limit are closed when their
@@ -50,17 +55,33 @@
 // OverLimit reports whether the number of connections exceeds the limit, which can be after the limit was lowered.
 func (p *Pool) OverLimit() bool { return len(p.conns) > p.max }
 
-// Acquire removes the most recently released idle connection to an endpoint from the idle connections and returns it,
-// or returns nil if there is none. Using the most recent one first lets connections that are not needed stay idle
-// until they are closed.
-func (p *Pool) Acquire(endpoint balancer.EndpointID) *Conn {
-	conns := p.idle[endpoint]
-	if len(conns) == 0 {
-		return nil
+// Acquire removes an idle connection to an endpoint from the idle connections, and returns it with the time from which a
+// request may be written to it. That time is now for the most recently released connection whose quiet time is over:
+// using the most recent one first lets connections that are not needed stay idle until they are closed. Without such a
+// connection it is the end of the quiet time that ends first. If that is more than maxQuietWait ahead, or there is no
+// idle connection, Acquire returns nil.
+func (p *Pool) Acquire(endpoint balancer.EndpointID, now time.Duration) (c *Conn, writableAt time.Duration) {
+	quietTime := p.quiet.of(endpoint, now)
+	for _, candidate := range slices.Backward(p.idle[endpoint]) {
+		at := max(candidate.LastByte+quietTime, now)
+		if c == nil || at < writableAt {
+			c, writableAt = candidate, at
+		}
+		if writableAt == now {
+			break
+		}
+	}
+	if c == nil || writableAt-now > maxQuietWait {
+		return nil, 0
 	}
-	c := conns[len(conns)-1]
 	p.removeIdle(c)
-	return c
+	return c, writableAt
+}
+
+// Distrust extends the quiet time of all connections to an endpoint that has sent bytes that belong to no request, late
+// after its last byte.
+func (p *Pool) Distrust(endpoint balancer.EndpointID, late, now time.Duration) {
+	p.quiet.raise(endpoint, late, now)
 }
 
 // Open adds a new connection to an endpoint, in phase Connecting.
@@ -103,12 +124,13 @@
 	return append([]*Conn(nil), p.idle[endpoint]...)
 }
 
-// ConnectingTo returns the connections to any of the endpoints that are not yet established, oldest first. Its cost is
-// proportional to the number of connections of the pool.
-func (p *Pool) ConnectingTo(endpoints map[balancer.EndpointID]bool) []*Conn {
+// UnwrittenTo returns the connections to any of the endpoints whose attempts are not yet written, because the connection
+// is not established or its quiet time is not over, oldest first. Its cost is proportional to the number of connections
+// of the pool.
+func (p *Pool) UnwrittenTo(endpoints map[balancer.EndpointID]bool) []*Conn {
 	var found []*Conn
 	for _, c := range p.conns {
-		if c.Phase == Connecting && endpoints[c.Endpoint] {
+		if (c.Phase == Connecting || c.Phase == Quiet) && endpoints[c.Endpoint] {
 			found = append(found, c)
 		}
 	}
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"thymebend/internal/balancer"
 )
@@ -36,3 +37,73 @@
 		}
 	}
 }
+
+// ms returns a duration in milliseconds.
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// Guards against reusing a connection whose endpoint may still send bytes of an earlier exchange.
+func TestAcquireHonoursTheQuietTime(t *testing.T) {
+	quiet := MinQuietTime
+	for _, c := range []struct {
+		name       string
+		lastBytes  []time.Duration // of the idle connections, in the order of their release
+		late       time.Duration   // delay of unsolicited bytes of the endpoint at second 0; 0 for none
+		now        time.Duration
+		wantIndex  int // -1 for none
+		wantWaitMS int
+	}{
+		{"silent for long", []time.Duration{ms(10)}, 0, time.Second, 0, 0},
+		{"most recent of those that are quiet", []time.Duration{ms(10), ms(20), time.Second}, 0, time.Second + ms(1), 1, 0},
+		{"none is quiet: the first to be", []time.Duration{ms(990), ms(995)}, 0, time.Second, 0, int(quiet.Milliseconds()) - 10},
+		{"released late, but silent for long", []time.Duration{ms(999), ms(10)}, 0, time.Second, 1, 0},
+		{"exactly the quiet time", []time.Duration{time.Second - quiet}, 0, time.Second, 0, 0},
+		{"distrusted: a new connection", []time.Duration{ms(990)}, ms(5), time.Second, -1, 0},
+		{"distrusted, silent for long", []time.Duration{ms(10)}, ms(5), time.Second, 0, 0},
+		{"distrusted, four times the delay", []time.Duration{ms(10)}, ms(300), time.Second, -1, 0},
+		{"distrusted long ago", []time.Duration{ms(70_000)}, ms(300), ms(70_000) + quiet, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			pool := NewPool(8)
+			if c.late > 0 {
+				pool.Distrust(1, c.late, 0)
+			}
+			var conns []*Conn
+			for _, at := range c.lastBytes {
+				conn := pool.Open(1)
+				conn.LastByte = at
+				pool.Release(conn)
+				conns = append(conns, conn)
+			}
+			got, writableAt := pool.Acquire(1, c.now)
+			if c.wantIndex < 0 {
+				if got != nil {
+					t.Fatalf("connection %d, want none", got.ID)
+				}
+				return
+			}
+			if got != conns[c.wantIndex] || writableAt-c.now != ms(c.wantWaitMS) {
+				t.Errorf("connection %v after %v, want %d after %d ms", got, writableAt-c.now, conns[c.wantIndex].ID, c.wantWaitMS)
+			}
+			if len(pool.IdleTo(1)) != len(conns)-1 {
+				t.Errorf("%d connections are idle, want %d", len(pool.IdleTo(1)), len(conns)-1)
+			}
+		})
+	}
+}
+
+// Guards against a distrusted endpoint that is kept for ever, or trusted again by a shorter delay.
+func TestDistrustIsRaisedAndForgotten(t *testing.T) {
+	quiet := quietTimes{raised: make(map[balancer.EndpointID]raisedQuietTime)}
+	quiet.raise(1, ms(100), 0)
+	quiet.raise(1, ms(1), ms(10))
+	if got := quiet.of(1, ms(20)); got != 100*lateFactor*time.Millisecond {
+		t.Errorf("quiet time %v after a second, shorter delay, want %d ms", got, 100*lateFactor)
+	}
+	if got := quiet.of(2, ms(20)); got != MinQuietTime {
+		t.Errorf("quiet time %v of another endpoint, want %v", got, MinQuietTime)
+	}
+	quiet.raise(2, time.Hour, distrustPeriod+ms(10))
+	if got := quiet.of(2, distrustPeriod+ms(20)); got != maxRaisedQuietTime || len(quiet.raised) != 1 {
+		t.Errorf("quiet time %v, %d endpoints kept; want %v and one", got, len(quiet.raised), maxRaisedQuietTime)
+	}
+}
