Do not serve a response that arrives before the request's last byte is written

Cause: responded took any 200 on the attempt's connection, also in phase Writing; a host begins a request only once its last byte has come, so such a response is another one's. Change: it ends the attempt as ReasonPrematureResponse, which never ran; /ops/stats counts it as "premature". Result: TestResponseBeforeTheLastByteIsNotServed fails before (status 200, body "stray") and passes.

--- a/cmd/thymebend/late_response_test.go
+++ b/cmd/thymebend/late_response_test.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -139,3 +141,28 @@
 	_, _ = io.WriteString(c, response[len(response)/2:])
 	writeLater(c, 2*time.Millisecond, response)
 }
+
+// Guards against a response that arrives before the request's last byte is sent being taken for its response.
+func TestResponseBeforeTheLastByteIsNotServed(t *testing.T) {
+	ln, answered := listen(t), make(chan bool, 8)
+	go serveEach(ln, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray")
+		answered <- true
+		_, _ = io.Copy(io.Discard, c)
+	})
+	g := start(t, nil, &fakeEndpoint{name: "s-1", ln: ln})
+	const size = 200 << 10
+	c := g.dial()
+	head, _, _ := strings.Cut(lodgeRequest("large", strings.Repeat("x", size)), "\r\n\r\n")
+	if _, err := io.WriteString(c, head+"\r\n\r\n"+strings.Repeat("x", size/2)); err != nil {
+		t.Fatal(err)
+	}
+	<-answered
+	status, _, body := readResponse(c)
+	if status == 200 || status == 0 {
+		t.Errorf("status %d, body %q, want an error", status, body)
+	}
+}
--- a/internal/gateway/termination.go
+++ b/internal/gateway/termination.go
@@ -21,6 +21,8 @@
 	ReasonConnectTimeout
 	// The connection broke, or the write timed out, before the last byte was written.
 	ReasonResetBeforeSent
+	// A response with status 200 arrived before the request's last byte was written, so it is another request's.
+	ReasonPrematureResponse
 	ReasonRejected          // the endpoint rejected the request and states that it did not execute it
 	ReasonResponseTimeout   // no complete response in time
 	ReasonReset             // the connection broke or ended before the response was complete
@@ -48,7 +50,8 @@
 	switch r {
 	case ReasonRequestOver, ReasonDedupWindowOver, ReasonLocalResources:
 		return balancer.OutcomeNotStarted, true
-	case ReasonEndpointLeft, ReasonNoDescriptor, ReasonConnectFailed, ReasonConnectTimeout, ReasonResetBeforeSent:
+	case ReasonEndpointLeft, ReasonNoDescriptor, ReasonConnectFailed, ReasonConnectTimeout,
+		ReasonResetBeforeSent, ReasonPrematureResponse:
 		return balancer.OutcomeConnectFailed, true
 	case ReasonRejected:
 		return balancer.OutcomeRejected, true
@@ -77,6 +80,7 @@
 		ReasonLocalResources:    "local",
 		ReasonConnectTimeout:    "not up",
 		ReasonResetBeforeSent:   "unsent",
+		ReasonPrematureResponse: "premature",
 		ReasonRejected:          "turned away",
 		ReasonResponseTimeout:   "timed out",
 		ReasonReset:             "cut",
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -56,15 +56,24 @@
 	case err != nil:
 		a.log.Debug().Err(err).Msg("response of an endpoint")
 		a.end(att, ReasonMalformedResponse, nil)
+	case resp != nil && premature(conn, resp):
+		a.end(att, ReasonPrematureResponse, nil)
 	case resp != nil:
 		a.responded(att, resp)
 	default:
-		if head := conn.Large(); head != nil {
+		if head := conn.Large(); head != nil && premature(conn, head) {
+			a.end(att, ReasonPrematureResponse, nil)
+		} else if head != nil {
 			a.relays.begin(att, head)
 		}
 	}
 }
 
+// premature reports whether a response claims that the endpoint has served a request whose last byte is not yet written.
+func premature(conn *upstream.Conn, resp *upstream.Response) bool {
+	return conn.Phase == upstream.Writing && resp.Status == 200
+}
+
 // unsolicited closes a connection on which an endpoint has sent bytes that belong to no request, late after the
 // connection's previous byte, and keeps the endpoint's other connections quiet for longer. An attempt that waits for the
 // connection gets another one; att is nil without one.
