Play responses that are sent again late: emulated hosts, seeded runs, soak, planted defects

Need: the incident's fault could not be played by the project's own rigs. Change: faults late-copy and late-bytes of emulated hosts, up to 25 ms after a response or a rejection; both in the soak's draw; profile late-responses of the seeded runs; two planted defects.

--- a/internal/lab/emulation/emulation_test.go
+++ b/internal/lab/emulation/emulation_test.go
@@ -165,6 +165,16 @@
 			r, body, err := readResponse(in)
 			return err == nil && r.ContentLength == -1 && len(body) == 200
 		},
+		LateCopy: func(c net.Conn, in *bufio.Reader) bool {
+			_, one, err1 := readResponse(in)
+			_, two, err2 := readResponse(in)
+			return err1 == nil && err2 == nil && one == two
+		},
+		LateBytes: func(c net.Conn, in *bufio.Reader) bool {
+			_, _, err := readResponse(in)
+			_, late := in.Peek(randomLateBytes)
+			return err == nil && late == nil
+		},
 	} {
 		t.Run(string(fault), func(t *testing.T) {
 			h, addr := startHost(t, Options{})
@@ -180,8 +190,8 @@
 			}
 		})
 	}
-	if len(Faults()) != 12 {
-		t.Errorf("there are %d faults, 12 are tested", len(Faults()))
+	if len(Faults()) != 14 {
+		t.Errorf("there are %d faults, 14 are tested", len(Faults()))
 	}
 }
 
--- a/internal/lab/emulation/faults.go
+++ b/internal/lab/emulation/faults.go
@@ -14,7 +14,7 @@
 // Faults returns all faults.
 func Faults() []Fault {
 	return []Fault{ResetBefore, ResetMiddle, Trickle, ShortLength, LongLength, ExtraBytes, Interim, Garbage, Endless,
-		CloseIdle, HalfClose, NoLength}
+		CloseIdle, HalfClose, NoLength, LateCopy, LateBytes}
 }
 
 // faultShare is the share of the responses that get a fault, among those of one class or of all classes.
@@ -59,6 +59,8 @@
 	case NoLength:
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sConnection: close\r\n\r\n%s", load, body)
 		return false
+	case LateCopy, LateBytes:
+		return h.writeWithLateBytes(c, f, whole)
 	}
 	return true
 }
@@ -69,6 +71,30 @@
 	return err == nil
 }
 
+// writeWithLateBytes writes a response and, after a random time of up to maxLate, a second copy of it or random bytes. It
+// reports whether the response was written. The late bytes are left out if the machine is so busy that more than maxLate
+// has passed.
+func (h *Host) writeWithLateBytes(c net.Conn, f Fault, response []byte) bool {
+	late := response
+	if f == LateBytes {
+		late = h.randomBytes(randomLateBytes)
+	}
+	h.mu.Lock()
+	delay := time.Duration(h.rand.Int64N(int64(maxLate)))
+	h.mu.Unlock()
+	written := writeAll(c, response)
+	start := time.Now()
+	time.AfterFunc(delay, func() {
+		if time.Since(start) <= maxLate {
+			_ = writeAll(c, late)
+		}
+	})
+	return written
+}
+
+// randomLateBytes is the size of the random bytes that LateBytes adds.
+const randomLateBytes = 60
+
 // trickle writes a response byte by byte, one every trickleInterval, and reports whether all of it was written.
 func trickle(c net.Conn, data []byte) bool {
 	for i := range data {
--- a/internal/lab/emulation/host.go
+++ b/internal/lab/emulation/host.go
@@ -50,6 +50,8 @@
 	CloseIdle   Fault = "close-idle"   // the connection closes closeIdleDelay after the response
 	HalfClose   Fault = "half-close"   // the host closes its sending side after the response and continues to read
 	NoLength    Fault = "no-length"    // no Content-Length: the end of the connection ends the response
+	LateCopy    Fault = "late-copy"    // a second copy of the response, also of a rejection, up to maxLate after it
+	LateBytes   Fault = "late-bytes"   // random bytes up to maxLate after the response, also after a rejection
 )
 
 // Fields has the names under which a host's load report gives its values: Queue for the requests waiting, InFlight
@@ -67,6 +69,7 @@
 	trickleInterval = 20 * time.Millisecond
 	closeIdleDelay  = 15 * time.Millisecond
 	endlessInterval = 10 * time.Millisecond
+	maxLate         = 25 * time.Millisecond
 )
 
 // ArrivalFunc is called with every request before the host's model gets the request. via is the name of the gateway
@@ -266,7 +269,12 @@
 		resetConn(c.Conn)
 		return false
 	case reply.Kind == hostmodel.Rejected:
-		return writeResponse(c, 503, load+"X-Never-Ran: 1\r\n", []byte("turned away\n"))
+		rejection := []byte("turned away\n")
+		rejectionFields := load + "X-Never-Ran: 1\r\n"
+		if fault == LateCopy || fault == LateBytes {
+			return h.writeWithLateBytes(c, fault, buildResponse(503, rejectionFields, len(rejection), rejection))
+		}
+		return writeResponse(c, 503, rejectionFields, rejection)
 	case reply.Kind == hostmodel.Errored:
 		return writeResponse(c, 500, load, []byte("error\n"))
 	case fault != "":
--- a/internal/lab/mutationtest/gateway.go
+++ b/internal/lab/mutationtest/gateway.go
@@ -42,6 +42,10 @@
 			"		conn.RequestDeadlineSet = true\n"),
 		singleEdit("write an attempt after its client's time", "restart-surge", "internal/gateway/attempts.go",
 			"	case a.now >= att.deadline:\n		return ReasonConnectTimeout, true\n", ""),
+		singleEdit("reuse a connection at once", lateResponsesProfile, "internal/upstream/quiettime.go",
+			"	return MinQuietTime\n", "	return 0\n"),
+		singleEdit("take bytes of the quiet time for a response", lateResponsesProfile, "internal/gateway/upstream.go",
+			"	if att == nil || conn.Phase == upstream.Quiet {", "	if att == nil {"),
 		singleEdit("never watch the agent", "pushed", "internal/gateway/gateway.go", "		g.discovery.redial()\n", ""),
 		singleEdit("call a lost agent no more", "pushed", "internal/gateway/discovery.go",
 			"	case d.current == nil && d.discoveryPushed():\n		d.setTimer(timerRedial, 0, d.now+redialInterval)\n",
@@ -79,7 +83,7 @@
 			"		case ep.State != balancer.EndpointReady:",
 			"		case ep.State != balancer.EndpointReady || ep.StartedAt > 0 && !s.warmingUp(ep):"),
 		singleEdit("end attempts at an endpoint without their connection", "bad-hosts", "internal/gateway/attempts.go",
-			"		a.unbind(att)\n		a.dropConn(conn, end)",
-			"		a.unbind(att)\n		a.pool.Release(conn)"),
+			"		} else {\n			a.dropConn(conn, end)",
+			"		} else {\n			a.pool.Release(conn)"),
 	}
 }
--- a/internal/lab/mutationtest/main.go
+++ b/internal/lab/mutationtest/main.go
@@ -24,6 +24,7 @@
 // Profiles that seeds do not draw by themselves.
 const (
 	stoppedClientsProfile = "stopped-clients" // clients stop in the middle of their requests
+	lateResponsesProfile  = "late-responses"  // hosts send bytes after their responses
 	rolloutsProfile       = "rollouts"        // simulates the configuration distribution instead of whole gateways
 )
 
--- a/internal/lab/simulation/draw.go
+++ b/internal/lab/simulation/draw.go
@@ -165,6 +165,9 @@
 	case "host-spoil":
 		what := responseFaults()
 		f.Variant, f.Share = what[d.rng.IntN(len(what))], 0.02+0.3*d.rng.Float64()
+	case "host-late":
+		variants := lateVariants()
+		f.Variant, f.Share = variants[d.rng.IntN(len(variants))], 0.1+0.9*d.rng.Float64()
 	case "host-cut", "host-half":
 		f.Share = 0.1 + 0.4*d.rng.Float64()
 	case "host-errors":
--- a/internal/lab/simulation/hostfaults.go
+++ b/internal/lab/simulation/hostfaults.go
@@ -47,12 +47,33 @@
 	case "host-cut", "host-half":
 		h.faultShares[f.Kind] = f.Share
 		undo(func() { h.faultShares[f.Kind] = 0 })
-	case "host-spoil":
+	case "host-spoil", "host-late":
 		h.faultShares[f.Variant] = f.Share
 		undo(func() { h.faultShares[f.Variant] = 0 })
 	}
 }
 
+// sendLate sends a second copy of a response, or random bytes, some time after the response, if the host has that fault
+// now.
+func (h *host) sendLate(c *hostConn, response []byte) {
+	late := response
+	switch {
+	case h.run.sim.Chance(h.faultShares[lateCopy]):
+	case h.run.sim.Chance(h.faultShares[lateBytes]):
+		late = make([]byte, 60)
+		for i := range late {
+			late[i] = byte(h.run.sim.Rand.Uint32())
+		}
+	default:
+		return
+	}
+	h.run.sim.After(time.Duration(h.run.sim.Rand.Int64N(int64(msec(maxLateMS)))), func() {
+		if c.model == h.model && !c.closing {
+			h.write(c, late)
+		}
+	})
+}
+
 // drain announces a host as draining, and removes and stops the host later. If the fault is host-replace, it
 // then starts a replacement.
 func (s *simulator) drain(h *host, f Fault) {
--- a/internal/lab/simulation/hosts.go
+++ b/internal/lab/simulation/hosts.go
@@ -279,6 +279,7 @@
 		return
 	}
 	h.write(c, out)
+	h.sendLate(c, out)
 	h.run.sim.After(0, func() { h.onReadable(c) })
 }
 
--- a/internal/lab/simulation/profiles.go
+++ b/internal/lab/simulation/profiles.go
@@ -41,6 +41,8 @@
 			"gateway-term", "gateway-kill", "gateway-reload", "gateway-upgrade", "gateway-stillborn"},
 		clockProfile: {"clock-step", "clock-step", "gateway-kill", "gateway-term", "gateway-upgrade",
 			"gateway-reload", "host-cold", "host-replace", "host-down", "discovery-flap", "surge"},
+		lateProfile: {"host-late", "host-late", "host-late", "host-errors", "host-drain", "host-down", "bulk", "surge",
+			"gateway-term", "gateway-upgrade", "rude-leave"},
 		"reload": {"gateway-reload", "host-drain", "host-replace", "discovery-down", "gateway-term"},
 		"everything": slices.Concat(hosts, spoils, gateways, disc, rude, net, []string{"surge", "host-cold",
 			"gateway-reload"}),
@@ -71,10 +73,14 @@
 // are in slow start. No seed selects it by default, so that each seed keeps its plan.
 const clockProfile = "clock"
 
+// lateProfile plays hosts that send bytes after their responses. No seed selects it by default, so that each seed keeps
+// its plan.
+const lateProfile = "late-responses"
+
 // drawnByDefault reports whether a seed may select the profile when the caller of Draw names none.
 func drawnByDefault(profile string) bool {
 	return profile != fleetProfile && profile != discoveryLoadProfile && profile != stoppedProfile &&
-		profile != clockProfile
+		profile != clockProfile && profile != lateProfile
 }
 
 // Profiles returns the names of the profiles in order.
@@ -87,6 +93,18 @@
 	return names
 }
 
+// lateVariants returns the variants of the fault host-late.
+func lateVariants() []string { return []string{lateCopy, lateCopy, lateBytes} }
+
+// The variants of the fault host-late.
+const (
+	lateCopy  = "late-copy"  // a second copy of a response, also of a rejection, up to maxLateMS after it
+	lateBytes = "late-bytes" // random bytes up to maxLateMS after a response
+)
+
+// maxLateMS is the longest delay of late bytes in milliseconds.
+const maxLateMS = 25
+
 func responseFaults() []string {
 	return []string{"reset-before", "reset-middle", "garbage", "extra", "interim", "long-length", "close-after",
 		"endless-1xx", "bare-503"}
--- a/internal/lab/soak/draw.go
+++ b/internal/lab/soak/draw.go
@@ -155,7 +155,7 @@
 func (g *generator) hostEvent() {
 	do := g.oneOf("host-drain", "host-replace", "host-down", "host-cold", "host-cut", "host-hang",
 		"host-noreply", "host-pause", "host-slow",
-		"host-errors", "host-spoil", "host-spoil")
+		"host-errors", "host-spoil", "host-spoil", "host-spoil")
 	fields := []string{stringField("at", g.startTime()), stringField("do", do),
 		numberField("count", g.intBetween(1, 2))}
 	if do != "host-cold" {
@@ -172,7 +172,7 @@
 		fields = append(fields, numberField("share", 0.5*g.random.Float64()),
 			stringField("fault", g.oneOf("reset-before", "reset-middle", "trickle",
 				"long-length", "extra-bytes", "interim", "garbage", "endless", "close-idle", "half-close",
-				"no-length")))
+				"no-length", "late-copy", "late-bytes")))
 	}
 	g.writeTable("event", fields...)
 }
