Look for bytes on a new connection before its first request is written

Cause: an attempt was written on a new connection with Write, on a reused one with WriteIfIdle; bytes that were already there became the response. Change: WriteIfIdle on both. A new connection that is not idle counts as failed (nothing ran), so an endpoint that always sends first does not make the gateway dial without end. Result: TestNewConnectionWithBytesGetsNoRequest fails before (written by Write) and passes.

--- a/internal/gateway/quiettime_test.go
+++ b/internal/gateway/quiettime_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"testing"
 	"time"
 
@@ -77,6 +78,31 @@
 	}
 }
 
+// Guards against a request on a new connection that has already received bytes, which would be taken for its response, and
+// against opening connections without end to an endpoint that sends them.
+func TestNewConnectionWithBytesGetsNoRequest(t *testing.T) {
+	r := newRig(t, "subscribe", listLine(1, true, listEntry(1, "up", 0)))
+	var written []loop.Op
+	r.sendRequest(0, 0)
+	r.endTurn()
+	conn := r.pendingConn(endpointAddr(1))
+	for _, effect := range r.g.Step(r.now, loop.Event{Kind: loop.Connected, Conn: conn}) {
+		if effect.Conn == conn && len(effect.Data) > 0 {
+			written = append(written, effect.Op)
+		}
+	}
+	if !slices.Equal(written, []loop.Op{loop.WriteIfIdle}) {
+		t.Errorf("the request is written by %v, want WriteIfIdle", written)
+	}
+	r.step(loop.Event{Kind: loop.Stale, Conn: conn})
+	if !r.closed[conn] || r.g.stats.ends[ReasonConnectFailed] != 1 {
+		t.Errorf("connection closed: %v, ends %v; want true, 1 of ReasonConnectFailed", r.closed[conn], r.g.stats.ends)
+	}
+	if r.g.stats.upstream.opened != 1 {
+		t.Errorf("%d connections opened in the same step, want 1", r.g.stats.upstream.opened)
+	}
+}
+
 // Guards against writing a request that must not start any more when the quiet time ends, and against closing the
 // connection for it.
 func TestRequestThatEndsInTheQuietTimeIsNotWritten(t *testing.T) {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -21,7 +21,7 @@
 		a.emit(loop.Effect{Op: loop.Read, Conn: conn.ID})
 	case loop.Connected:
 		a.setTimer(timerAttempt, att.id, att.deadline)
-		a.writeRequest(att, loop.Write)
+		a.writeRequest(att, loop.WriteIfIdle)
 	case loop.Flushed:
 		switch {
 		case att != nil && att.request.upload != nil && conn.Phase == upstream.Writing:
@@ -31,11 +31,7 @@
 			a.stats.forwarded++
 		}
 	case loop.Stale:
-		// Nothing was written: the endpoint closed this connection while it was idle. The attempt starts again
-		// on another connection.
-		att.request.invariants.AttemptEnded(att.invariantIndex, true)
-		att.invariantIndex = notWritten
-		a.restart(att, ReasonIdleClosed)
+		a.nothingWritten(conn, att)
 	case loop.Data:
 		a.handleData(conn, att, e.Data)
 	case loop.EOF, loop.Broken:
@@ -43,6 +39,19 @@
 	}
 }
 
+// nothingWritten handles a connection whose endpoint has sent bytes or closed it before the request could be written. If
+// the connection was idle, the attempt starts again on another one. A new connection has failed: opening further ones to
+// an endpoint that does so would have no end.
+func (a *attemptTable) nothingWritten(conn *upstream.Conn, att *attempt) {
+	att.request.invariants.AttemptEnded(att.invariantIndex, true)
+	att.invariantIndex = notWritten
+	if conn.Requests == 1 {
+		a.end(att, ReasonConnectFailed, nil)
+		return
+	}
+	a.restart(att, ReasonIdleClosed)
+}
+
 // handleData processes bytes of a response.
 func (a *attemptTable) handleData(conn *upstream.Conn, att *attempt, data []byte) {
 	previousByte := conn.LastByte
