Look at the sockets again after an interrupted wait, before expired timers

Cause: SIGCONT ends epoll_wait with EINTR; Loop.wait returned no sockets, so expired timers came first and dispatched requests while the drain lay unread in the watch's socket. Result: TestDataPrecedesTimersAfterAnInterruptedWait fails before (the timer came first) and passes.

--- a/internal/loop/calls_test.go
+++ b/internal/loop/calls_test.go
@@ -305,6 +305,44 @@
 	}
 }
 
+// Guards against timers that precede data which has arrived, because the wait was interrupted, as in a process that was
+// stopped and continued: an attempt would be written to an endpoint whose removal has already been received.
+func TestDataPrecedesTimersAfterAnInterruptedWait(t *testing.T) {
+	const stopped = 20 * time.Millisecond
+	addr, accepted := listenPeer(t)
+	connected, interrupted := false, false
+	recorded := runLoop(t, func(c *syscalls) {
+		wait := c.wait
+		c.wait = func(epoll int, ready []unix.EpollEvent, ms int) (int, error) {
+			if connected && !interrupted {
+				interrupted = true
+				time.Sleep(2 * stopped)
+				return -1, unix.EINTR
+			}
+			return wait(epoll, ready, ms)
+		}
+	}, func(e Event) []Effect {
+		switch e.Kind {
+		case Start:
+			return []Effect{{Op: Dial, Conn: 1, Addr: addr}}
+		case Connected:
+			if _, err := io.WriteString(<-accepted, "gone"); err != nil {
+				t.Error(err)
+			}
+			connected = true
+			return []Effect{{Op: SetTimer, Timer: Timer{Kind: 1}, At: time.Duration(time.Now().Add(stopped).UnixNano())}}
+		case Readable:
+			return []Effect{{Op: Read, Conn: 1}}
+		case TimerDue:
+			return []Effect{{Op: Exit}}
+		}
+		return nil
+	})
+	if string(recorded.received) != "gone" {
+		t.Errorf("the timer came first; events %v", recorded.kinds(1))
+	}
+}
+
 // Guards against discarding an idle connection, whose peer has sent nothing, because the peek at its socket was
 // interrupted.
 func TestInterruptedPeekMeansIdle(t *testing.T) {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -154,14 +154,19 @@
 }
 
 // wait blocks until a socket is ready, the next timer expires or maxWaitMS has passed, and returns the number of ready
-// sockets. It does not block if RequestTurn has requested another turn.
+// sockets. It does not block if RequestTurn has requested another turn. After an interrupted wait it looks at the sockets
+// again without blocking: a process that was stopped must handle what has arrived before the timers that have expired.
 func (l *Loop) wait() (int, error) {
 	timeoutMS := l.timers.wait(l.clock.Now())
 	if l.turnRequested {
 		timeoutMS = 0
 	}
 	l.turnRequested = false
-	n, err := l.syscalls.wait(l.epollFD, l.readyEvents, timeoutMS)
+	n, err := retryInterrupted(func() (int, error) {
+		ready, err := l.syscalls.wait(l.epollFD, l.readyEvents, timeoutMS)
+		timeoutMS = 0
+		return ready, err
+	})
 	if err != nil && !errors.Is(err, unix.EINTR) {
 		return 0, fmt.Errorf("wait for epoll: %w", err)
 	}
