Open another connection where attempts wait often for a quiet one

Change: waits at an endpoint are added up; past 60 ms the next attempt gets a new connection and the sum starts anew.

--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -181,6 +181,7 @@
 	leaving := make(map[balancer.EndpointID]bool, len(changed))
 	for _, id := range changed {
 		leaving[id] = true
+		a.pool.Forget(id)
 		for _, conn := range a.pool.IdleTo(id) {
 			a.dropConn(conn, ReasonEndpointLeft)
 		}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -23,7 +23,7 @@
 func NewPool(limit int) *Pool {
 	return &Pool{
 		conns: make(map[loop.Conn]*Conn), idle: make(map[balancer.EndpointID][]*Conn), max: limit,
-		quiet: quietTimes{raised: make(map[balancer.EndpointID]raisedQuietTime)},
+		quiet: newQuietTimes(),
 	}
 }
 
@@ -58,8 +58,8 @@
 // Acquire removes an idle connection to an endpoint from the idle connections, and returns it with the time from which a
 // request may be written to it. That time is now for the most recently released connection whose quiet time is over:
 // using the most recent one first lets connections that are not needed stay idle until they are closed. Without such a
-// connection it is the end of the quiet time that ends first. If that is more than maxQuietWait ahead, or there is no
-// idle connection, Acquire returns nil.
+// connection it is the end of the quiet time that ends first. Acquire returns nil, so that a new connection is opened, if
+// there is no idle connection, or if the attempt should not wait for that one and the pool has room.
 func (p *Pool) Acquire(endpoint balancer.EndpointID, now time.Duration) (c *Conn, writableAt time.Duration) {
 	quietTime := p.quiet.of(endpoint, now)
 	for _, candidate := range slices.Backward(p.idle[endpoint]) {
@@ -71,13 +71,19 @@
 			break
 		}
 	}
-	if c == nil || writableAt-now > maxQuietWait {
+	switch wait := writableAt - now; {
+	case c == nil, wait > maxQuietWait:
+		return nil, 0
+	case !p.quiet.mayWait(endpoint, wait) && !p.Full():
 		return nil, 0
 	}
 	p.removeIdle(c)
 	return c, writableAt
 }
 
+// Forget removes what is known of the connections to an endpoint that has left or restarted.
+func (p *Pool) Forget(endpoint balancer.EndpointID) { p.quiet.forget(endpoint) }
+
 // Distrust extends the quiet time of all connections to an endpoint that has sent bytes that belong to no request, late
 // after its last byte.
 func (p *Pool) Distrust(endpoint balancer.EndpointID, late, now time.Duration) {
@@ -86,6 +92,7 @@
 
 // Open adds a new connection to an endpoint, in phase Connecting.
 func (p *Pool) Open(endpoint balancer.EndpointID) *Conn {
+	delete(p.quiet.waited, endpoint)
 	c := &Conn{ID: p.NextID(), Endpoint: endpoint, reader: http1.Reader{Response: true}}
 	p.conns[c.ID] = c
 	return c
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -91,9 +91,53 @@
 	}
 }
 
+// Guards against attempts that wait again and again where another connection would serve them, and against waits that are
+// added up for ever.
+func TestWaitsAddUpToANewConnection(t *testing.T) {
+	pool := NewPool(3)
+	pool.Open(2)
+	conn := pool.Open(1)
+	now := time.Second
+	acquire := func() bool {
+		conn.LastByte = now - MinQuietTime + ms(10)
+		pool.Release(conn)
+		got, writableAt := pool.Acquire(1, now)
+		if got == nil {
+			pool.removeIdle(conn)
+			return false
+		}
+		if writableAt-now != ms(10) {
+			t.Fatalf("a wait of %v, want 10ms", writableAt-now)
+		}
+		return true
+	}
+	for n := range int(maxTotalWait / ms(10)) {
+		if !acquire() {
+			t.Fatalf("no connection after %d waits of 10 ms", n)
+		}
+	}
+	if acquire() {
+		t.Errorf("another wait after %v in all, want a new connection", maxTotalWait)
+	}
+	pool.Open(1)
+	if !acquire() {
+		t.Error("no wait after a new connection was opened: the pool is full")
+	}
+	for range 2 * int(maxTotalWait/ms(10)) {
+		if !acquire() {
+			t.Fatal("no wait although the pool is full")
+		}
+	}
+	pool.Resize(8)
+	pool.Forget(1)
+	if !acquire() || len(pool.quiet.waited) != 1 {
+		t.Errorf("the waits were not forgotten: %v", pool.quiet.waited)
+	}
+}
+
 // Guards against a distrusted endpoint that is kept for ever, or trusted again by a shorter delay.
 func TestDistrustIsRaisedAndForgotten(t *testing.T) {
-	quiet := quietTimes{raised: make(map[balancer.EndpointID]raisedQuietTime)}
+	quiet := newQuietTimes()
 	quiet.raise(1, ms(100), 0)
 	quiet.raise(1, ms(1), ms(10))
 	if got := quiet.of(1, ms(20)); got != 100*lateFactor*time.Millisecond {
--- a/internal/upstream/quiettime.go
+++ b/internal/upstream/quiettime.go
@@ -21,11 +21,15 @@
 	// maxQuietWait is how long an attempt waits for the end of a connection's quiet time rather than have a new
 	// connection opened, which costs its endpoint a handshake.
 	maxQuietWait = MinQuietTime
+	// maxTotalWait is how long the attempts at an endpoint wait together before another connection is opened for one of
+	// them: a connection that stays is worth its handshake where attempts wait often.
+	maxTotalWait = 60 * time.Millisecond
 )
 
-// quietTimes holds the quiet times of endpoints.
+// quietTimes holds the quiet times of endpoints, and how long attempts have waited for them.
 type quietTimes struct {
 	raised map[balancer.EndpointID]raisedQuietTime
+	waited map[balancer.EndpointID]time.Duration // since a connection to the endpoint was last opened
 }
 
 // raisedQuietTime is the quiet time of an endpoint that has sent unsolicited bytes.
@@ -42,6 +46,24 @@
 	return MinQuietTime
 }
 
+// mayWait reports whether an attempt at an endpoint is to wait for the given time rather than have a new connection
+// opened, and adds the time to the endpoint's waits.
+func (q *quietTimes) mayWait(endpoint balancer.EndpointID, wait time.Duration) bool {
+	if q.waited[endpoint]+wait > maxTotalWait {
+		return false
+	}
+	if wait > 0 {
+		q.waited[endpoint] += wait
+	}
+	return true
+}
+
+// forget removes what is known of an endpoint.
+func (q *quietTimes) forget(endpoint balancer.EndpointID) {
+	delete(q.raised, endpoint)
+	delete(q.waited, endpoint)
+}
+
 // raise extends the quiet time of an endpoint that has sent bytes that belong to no request, late after its last byte. It
 // forgets the endpoints whose quiet time is no longer raised.
 func (q *quietTimes) raise(endpoint balancer.EndpointID, late, now time.Duration) {
@@ -54,3 +76,11 @@
 	}
 	q.raised[endpoint] = raisedQuietTime{duration: duration, until: now + distrustPeriod}
 }
+
+// newQuietTimes returns quiet times of which none is raised.
+func newQuietTimes() quietTimes {
+	return quietTimes{
+		raised: make(map[balancer.EndpointID]raisedQuietTime),
+		waited: make(map[balancer.EndpointID]time.Duration),
+	}
+}
