--- a/internal/lab/drill/faults.go
+++ b/internal/lab/drill/faults.go
@@ -37,6 +37,7 @@
 	}
 	return map[string]faultKind{
 		"gateway-kill":    gateways(nil, killGateway, "for"),
+		"gateway-signals": gateways(nil, signalGateway, "for"),
 		"gateway-term":    gateways(nil, termGateway, "for"),
 		"gateway-old":     gateways([]string{"for"}, staleListGateway, "for"),
 		"gateway-start":   gateways(nil, startGateway),
@@ -139,8 +140,20 @@
 }
 
 func termGateway(ctx context.Context, r *rig, f *Fault, g int) error {
+	return endGateway(ctx, r, f, g)
+}
+
+// signalGateway stops a gateway like termGateway and sends it further signals while it ends, as an impatient operator or a
+// supervisor does.
+func signalGateway(ctx context.Context, r *rig, f *Fault, g int) error {
+	return endGateway(ctx, r, f, g, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT, syscall.SIGTERM,
+		syscall.SIGTERM)
+}
+
+// endGateway stops a gateway with SIGTERM and further signals, and starts it again after the fault's duration.
+func endGateway(ctx context.Context, r *rig, f *Fault, g int, signals ...syscall.Signal) error {
 	r.history.Leaving(g, r.now())
-	r.run.Stop(g)
+	r.run.Stop(g, signals...)
 	if f.For.Duration == 0 {
 		return r.setListed(g, false)
 	}
--- a/internal/lab/experiment/gateways.go
+++ b/internal/lab/experiment/gateways.go
@@ -226,9 +226,10 @@
 	w.discovery.Forget(g.name)
 }
 
-// stop ends a gateway with SIGTERM, as a planned restart does, and records the time. If front is not nil, the front
-// stops sending to the gateway frontLeaveDelay after the signal. An exit with an error is reported as a finding.
-func (w *World) stop(g *gateway, front *load.Front) {
+// stop ends a gateway with SIGTERM, as a planned restart does, and records the time. signals are sent to it after that,
+// one after another. If front is not nil, the front opens no connection to the gateway from frontLeaveDelay after SIGTERM
+// on, and uses the open ones until they end. An exit with an error is reported as a finding.
+func (w *World) stop(g *gateway, front *load.Front, signals ...syscall.Signal) {
 	p := g.current()
 	if p == nil {
 		return
@@ -244,9 +245,13 @@
 		g.stops = append(g.stops, w.Clock())
 		g.mu.Unlock()
 		if front != nil {
-			time.AfterFunc(frontLeaveDelay, func() { front.Remove(g.clientAddr) })
+			time.AfterFunc(frontLeaveDelay, func() { front.Leave(g.clientAddr) })
 		}
+		go p.signalSeries(signals)
 	})
+	if front != nil {
+		front.Remove(g.clientAddr)
+	}
 	if !killed && p.err != nil {
 		w.mu.Lock()
 		w.findings = append(w.findings, requestrecord.Finding{Rule: requestrecord.GatewayCrashed, ID: g.name,
@@ -257,8 +262,23 @@
 	w.discovery.Forget(g.name)
 }
 
+// signalSeriesInterval is the time between two signals of a series.
+const signalSeriesInterval = 20 * time.Millisecond
+
+// signalSeries sends signals to the process, one after another, until it has ended.
+func (p *process) signalSeries(signals []syscall.Signal) {
+	for _, s := range signals {
+		select {
+		case <-p.ended:
+			return
+		case <-time.After(signalSeriesInterval):
+			_ = p.cmd.Process.Signal(s) // the process may have ended meanwhile
+		}
+	}
+}
+
 // terminate sends SIGTERM, calls onSignal and waits for the end of the process. If the process has not ended after
-// the longest client timeout plus killDelay, terminate kills it and returns true.
+// the longest client timeout, maxKillTimeout at most, plus killDelay, terminate kills it and returns true.
 func (w *World) terminate(p *process, onSignal func()) (killed bool) {
 	p.endExpected.Store(true)
 	_ = p.cmd.Process.Signal(syscall.SIGTERM)
@@ -266,7 +286,7 @@
 	select {
 	case <-p.ended:
 		return false
-	case <-time.After(w.longestTimeout() + killDelay):
+	case <-time.After(min(w.longestTimeout(), maxKillTimeout) + killDelay):
 		p.kill()
 		return true
 	}
--- a/internal/lab/experiment/rig.go
+++ b/internal/lab/experiment/rig.go
@@ -61,9 +61,11 @@
 // Kill ends a gateway's process with SIGKILL.
 func (r *RunControl) Kill(n int) { r.world.kill(r.world.gateways[n]) }
 
-// Stop ends a gateway's process with SIGTERM, as a planned restart does. Clients stop using it shortly after the
-// signal.
-func (r *RunControl) Stop(n int) { r.world.stop(r.world.gateways[n], r.world.Front) }
+// Stop ends a gateway's process with SIGTERM, as a planned restart does, and sends further signals after it. Clients open
+// no connection to it from shortly after SIGTERM on, and use the open ones until they end.
+func (r *RunControl) Stop(n int, signals ...syscall.Signal) {
+	r.world.stop(r.world.gateways[n], r.world.Front, signals...)
+}
 
 // Start starts a gateway that is not running, and waits until it is ready.
 func (r *RunControl) Start(ctx context.Context, n int) error {
--- a/internal/lab/experiment/run_test.go
+++ b/internal/lab/experiment/run_test.go
@@ -166,19 +166,22 @@
 }
 
 // A lost attempt is excused only if its own gateway was killed while the attempt was in progress, or if the attempt
-// was sent long after SIGTERM to that gateway.
+// was sent on a new connection long after SIGTERM to that gateway.
 func TestOnlyKillsAndLateArrivalsAreExcused(t *testing.T) {
 	w := &World{gateways: []*gateway{{clientAddr: "a", kills: []time.Duration{10 * time.Second},
 		stops: []time.Duration{30 * time.Second}}}}
 	for _, c := range []struct {
 		target      string
 		sent, ended time.Duration
+		open        bool // sent on a connection that had carried another attempt
 		want        bool
-	}{{"a", 9 * time.Second, 10 * time.Second, true}, {"a", 9 * time.Second, 9500 * time.Millisecond, false},
-		{"a", 11 * time.Second, 12 * time.Second, false}, {"b", 9 * time.Second, 10 * time.Second, false},
-		{"a", 30*time.Second + 100*time.Millisecond, 31 * time.Second, false},
-		{"a", 30*time.Second + 900*time.Millisecond, 31 * time.Second, true}} {
-		if got := w.excused(requestrecord.Attempt{Target: c.target, Sent: c.sent, Ended: c.ended}); got != c.want {
+	}{{"a", 9 * time.Second, 10 * time.Second, false, true}, {"a", 9 * time.Second, 9500 * time.Millisecond, false, false},
+		{"a", 11 * time.Second, 12 * time.Second, false, false}, {"b", 9 * time.Second, 10 * time.Second, false, false},
+		{"a", 30*time.Second + 100*time.Millisecond, 31 * time.Second, false, false},
+		{"a", 30*time.Second + 900*time.Millisecond, 31 * time.Second, false, true},
+		{"a", 30*time.Second + 900*time.Millisecond, 31 * time.Second, true, false}} {
+		attempt := requestrecord.Attempt{Target: c.target, Sent: c.sent, Ended: c.ended, OpenConnection: c.open}
+		if got := w.excused(attempt); got != c.want {
 			t.Errorf("%+v: excused is %v", c, got)
 		}
 	}
--- a/internal/lab/experiment/world.go
+++ b/internal/lab/experiment/world.go
@@ -17,8 +17,9 @@
 // Time limits of the rules and of the run.
 const (
 	drainGrace      = 300 * time.Millisecond // the rule's 250 ms, and the 50 ms tolerance of every time limit on sockets
+	maxKillTimeout  = 3 * time.Second        // a longer client timeout does not delay SIGKILL further
 	killDelay       = 700 * time.Millisecond // SIGKILL follows SIGTERM after the longest client timeout plus this
-	frontLeaveDelay = 300 * time.Millisecond // the front keeps sending to a gateway for this time after SIGTERM
+	frontLeaveDelay = 300 * time.Millisecond // the front opens connections to a gateway for this time after SIGTERM
 	readyTimeout    = 15 * time.Second       // for a gateway to become ready after its start
 )
 
--- a/internal/lab/load/attempt.go
+++ b/internal/lab/load/attempt.go
@@ -64,6 +64,9 @@
 // caller may send it again. resends is the number of earlier sendings of this attempt.
 func (g *generator) sendOn(ctx context.Context, a *attempt, resends int) (result attemptResult, ended bool) {
 	conn, reused, err := g.connTo(ctx, a.target, a.clientTimeout, resends > 0)
+	for errors.Is(err, errLeaving) && g.retarget(a) {
+		conn, reused, err = g.connTo(ctx, a.target, a.clientTimeout, resends > 0)
+	}
 	if errors.Is(err, errNoDescriptor) {
 		return attemptResult{outcome: Unsent, cause: "no descriptor left for a connection"}, true
 	}
@@ -85,7 +88,9 @@
 	}
 	sent := g.now()
 	a.fullyWritten = true
-	g.Record.Update(a.id, func(t *requestrecord.Attempt) { t.Sent, t.FullyWritten = sent, true })
+	g.Record.Update(a.id, func(t *requestrecord.Attempt) {
+		t.Sent, t.FullyWritten, t.OpenConnection = sent, true, reused
+	})
 	if a.number == 0 && resends == 0 {
 		g.recorder.count(a.request.Class, a.request.At, func(s *Second) { s.Sent++ })
 	}
@@ -156,9 +161,22 @@
 	return "connection failed"
 }
 
+// retarget gives an attempt of which nothing was read a target that accepts connections, since its own accepts none. It
+// returns false if there is no such target.
+func (g *generator) retarget(a *attempt) bool {
+	next := g.Front.pickAccepting()
+	if next == nil {
+		return false
+	}
+	a.target = next
+	g.Record.Update(a.id, func(t *requestrecord.Attempt) { t.Target = next.addr })
+	return true
+}
+
 // connTo returns a connection to a target: an idle one from the pool, or a new one if there is none or fresh is
 // set. reused reports whether the connection is from the pool. The error is errNoDescriptor if this process has no
-// file descriptor or port left; connTo reports a failed dial to the Front.
+// file descriptor or port left, and errLeaving if the target gets no new connections; connTo reports a failed dial to
+// the Front.
 func (g *generator) connTo(ctx context.Context, t *target, timeout time.Duration, fresh bool) (conn *clientConn,
 	reused bool, err error) {
 	if !fresh {
@@ -166,6 +184,9 @@
 			return idle, true, nil
 		}
 	}
+	if g.Front.isLeaving(t) {
+		return nil, false, errLeaving
+	}
 	if g.openConns.Add(1) > int64(g.MaxOpenConns) {
 		g.openConns.Add(-1)
 		return nil, false, errNoDescriptor
--- a/internal/lab/load/front.go
+++ b/internal/lab/load/front.go
@@ -30,6 +30,7 @@
 type target struct {
 	addr         string
 	removed      bool          // receives no requests until its health check succeeds
+	leaving      bool          // receives requests on its open connections only, until it is removed
 	failingSince time.Duration // run time of the first failed connect since the last success; 0 while connects succeed
 	pool         pool
 }
@@ -47,28 +48,44 @@
 	return f
 }
 
+// usable reports whether the target may receive a request. It must be called with the front's mutex held.
+func (t *target) usable() bool { return !t.removed && (!t.leaving || t.pool.hasOpen()) }
+
 // pick returns the target of the next request. If the preferred targets are due a request, it is the next of them;
-// otherwise, or if that one is removed, it is the next target of all in round-robin order that is not removed. If
-// all targets are removed, pick returns a removed one.
+// otherwise, or if that one is not usable, it is the next usable target of all in round-robin order. If none is usable,
+// pick returns the next one.
 func (f *Front) pick() *target {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.preferredCredit += f.preferredShare; len(f.preferred) > 0 && f.preferredCredit >= 1 {
 		f.preferredCredit--
 		f.preferredCount++
-		if t := f.preferred[f.preferredCount%len(f.preferred)]; !t.removed {
+		if t := f.preferred[f.preferredCount%len(f.preferred)]; t.usable() {
 			return t
 		}
 	}
 	for range f.targets {
 		f.lastIndex++
-		if t := f.targets[f.lastIndex%len(f.targets)]; !t.removed {
+		if t := f.targets[f.lastIndex%len(f.targets)]; t.usable() {
 			return t
 		}
 	}
 	return f.targets[f.lastIndex%len(f.targets)]
 }
 
+// pickAccepting returns the next target in round-robin order that accepts new connections, or nil if there is none.
+func (f *Front) pickAccepting() *target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for range f.targets {
+		f.lastIndex++
+		if t := f.targets[f.lastIndex%len(f.targets)]; !t.removed && !t.leaving {
+			return t
+		}
+	}
+	return nil
+}
+
 // SetPreferred gives the targets at addrs the given share of all requests, in addition to their round-robin turns, as
 // when one site has most of the clients. Without addresses, or with a share of 0, all targets are equal again.
 func (f *Front) SetPreferred(addrs []string, share float64) {
@@ -98,17 +115,34 @@
 	}
 }
 
-// Remove removes the target at addr, as before a planned restart, until its health check succeeds.
+// Leave restricts the target at addr to its open connections, as after the SIGTERM of a planned restart, until Remove.
+func (f *Front) Leave(addr string) {
+	f.change(addr, func(t *target) { t.leaving = !t.removed })
+}
+
+// Remove removes the target at addr until its health check succeeds.
 func (f *Front) Remove(addr string) {
+	f.change(addr, func(t *target) { t.removed, t.leaving = true, false })
+}
+
+// change applies a change to the target at addr.
+func (f *Front) change(addr string, apply func(t *target)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, t := range f.targets {
 		if t.addr == addr {
-			t.removed = true
+			apply(t)
 		}
 	}
 }
 
+// isLeaving reports whether the target receives requests on its open connections only.
+func (f *Front) isLeaving(t *target) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return t.leaving
+}
+
 // probeRemoved checks the health of removed targets every healthProbeInterval until ctx is done, and adds those
 // that are healthy again.
 func (f *Front) probeRemoved(ctx context.Context) {
--- a/internal/lab/load/generator.go
+++ b/internal/lab/load/generator.go
@@ -227,6 +227,9 @@
 // errNoDescriptor is returned by connTo when this process may open no further connection.
 var errNoDescriptor = errors.New("no descriptor left")
 
+// errLeaving is returned by connTo when the target is about to end and has no open connection left.
+var errLeaving = errors.New("the gateway is about to end")
+
 // progress calls Options.Progress every 250 ms until ctx is done.
 func (g *generator) progress(ctx context.Context) {
 	tick := time.NewTicker(250 * time.Millisecond)
--- a/internal/lab/load/link.go
+++ b/internal/lab/load/link.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -36,6 +37,13 @@
 	return nil
 }
 
+// hasOpen reports whether an idle connection is open.
+func (p *pool) hasOpen() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.idle, func(c *clientConn) bool { return !c.isClosed() })
+}
+
 // put adds an idle connection.
 func (p *pool) put(conn *clientConn) {
 	p.mu.Lock()
--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -457,3 +457,38 @@
 		}
 	}
 }
+
+// Guards against clients that stop using their open connections to a gateway that is about to end, and against connections
+// that they open to it.
+func TestLeavingTargetIsUsedOnOpenConnectionsOnly(t *testing.T) {
+	front := NewFront([]string{"a", "b"}, time.Second, func() time.Duration { return 0 })
+	leaving := front.targets[0]
+	picks := func() (count int) {
+		for range 10 {
+			if front.pick() == leaving {
+				count++
+			}
+		}
+		return count
+	}
+	front.Leave("a")
+	if n := picks(); n != 0 {
+		t.Errorf("%d of 10 requests go to a target that is about to end and has no open connection", n)
+	}
+	leaving.pool.put(&clientConn{})
+	if n := picks(); n != 5 {
+		t.Errorf("%d of 10 requests go to a target with an open connection, want 5", n)
+	}
+	if next := front.pickAccepting(); next == nil || next == leaving {
+		t.Error("a request without a connection is not sent to the target that accepts connections")
+	}
+	front.Remove("a")
+	front.Leave("a")
+	if n := picks(); n != 0 {
+		t.Errorf("%d of 10 requests go to a target that has ended", n)
+	}
+	front.Leave("b")
+	if front.pickAccepting() != nil {
+		t.Error("a target is said to accept connections, but both are about to end")
+	}
+}
--- a/internal/lab/requestrecord/compare.go
+++ b/internal/lab/requestrecord/compare.go
@@ -112,16 +112,16 @@
 }
 
 // Excused reports whether the attempt was lost for a reason that no rule forbids: its gateway was killed while it
-// held the attempt, or the attempt was sent between stopGrace and 10 s after the gateway's SIGTERM. kills and
-// stops are the times of its gateway's kills and SIGTERMs. tolerance is the time by which a kill may be noticed
-// late or early in the record.
+// held the attempt, or the attempt was sent on a new connection between stopGrace and 10 s after the gateway's SIGTERM.
+// What comes on an open connection is owed an answer until the gateway's end. kills and stops are the times of its
+// gateway's kills and SIGTERMs. tolerance is the time by which a kill may be noticed late or early in the record.
 func (a Attempt) Excused(kills, stops []time.Duration, tolerance time.Duration) bool {
 	return slices.ContainsFunc(kills, func(k time.Duration) bool {
 		return a.Sent <= k+tolerance &&
 			a.Ended >= k-tolerance
 	}) ||
 		slices.ContainsFunc(stops, func(s time.Duration) bool {
-			return a.Sent >= s+stopGrace &&
+			return !a.OpenConnection && a.Sent >= s+stopGrace &&
 				a.Sent <= s+10*time.Second
 		})
 }
--- a/internal/lab/requestrecord/record.go
+++ b/internal/lab/requestrecord/record.go
@@ -30,11 +30,13 @@
 	Sent          time.Duration // when its last byte was written; valid if FullyWritten
 	Ended         time.Duration // when the attempt ended: response read, error, or given up
 	FullyWritten  bool          // its last byte was written to an accepted connection
-	Answers       int           // number of whole responses that the client received
-	Status        int           // HTTP status of the first response; 0 if there was none
-	Hash          uint64        // hash of the first response's body, by the function Hash
-	TimedOut      bool          // the client timeout passed without a response
-	Cause         string        // why it had no good response, in words
+	// OpenConnection reports that it was sent on a connection that had carried another attempt.
+	OpenConnection bool
+	Answers        int    // number of whole responses that the client received
+	Status         int    // HTTP status of the first response; 0 if there was none
+	Hash           uint64 // hash of the first response's body, by the function Hash
+	TimedOut       bool   // the client timeout passed without a response
+	Cause          string // why it had no good response, in words
 }
 
 // ClientRecord is the record of the clients. Its methods may be called from several goroutines.
--- a/internal/lab/soak/draw.go
+++ b/internal/lab/soak/draw.go
@@ -120,7 +120,7 @@
 		g.intBetween(256, 600), g.random.IntN(2) == 0)
 	g.writeLine("\n[discovery]\nlag = %q", g.milliseconds(0, 400))
 	g.writeLine("\n[clients]\nretries = 1\nconnections = %d\nmarks_retry = true\nslow_share = 0.05\nslow_for = \"1500ms\"\nsilent = %d",
-		6*g.gateways, g.intBetween(0, 2*g.gateways))
+		6*g.gateways, g.silentClients())
 	g.writeLine("\n[stopped_clients]\nevery = %q\n", g.milliseconds(20, 120))
 	clientTimeouts := []int{900, 2000, 2500, 3700, 4600}
 	view, bid := clientTimeouts[g.random.IntN(len(clientTimeouts))], clientTimeouts[g.random.IntN(len(clientTimeouts))]
@@ -134,6 +134,18 @@
 		`work = { dist = "lognormal", mean = "12ms", cv = 1 }`)
 }
 
+// maxCrowd is the largest number of silent clients. The rig has a descriptor for each.
+const maxCrowd = 4000
+
+// silentClients draws the number of clients that connect and send nothing: a few, or in one run of four a crowd that fills
+// a large part of the gateways' descriptors.
+func (g *generator) silentClients() int {
+	if g.random.IntN(4) == 0 {
+		return min(maxCrowd, g.gateways*g.intBetween(60, 200))
+	}
+	return g.intBetween(0, 2*g.gateways)
+}
+
 // hostsAndLoad draws the hosts and a load of about a third of their capacity.
 func (g *generator) hostsAndLoad() {
 	sites := g.intBetween(1, 3)
@@ -212,7 +224,7 @@
 	}
 	end := g.length - 4*time.Second
 	for at := time.Duration(g.intBetween(500, int(g.length.Milliseconds()))) * time.Millisecond; at < end; {
-		do := g.oneOf("gateway-kill", "gateway-term", "gateway-term", "gateway-stop", "gateway-slow",
+		do := g.oneOf("gateway-kill", "gateway-term", "gateway-signals", "gateway-stop", "gateway-slow",
 			"gateway-upgrade", "gateway-old")
 		takes := time.Duration(g.intBetween(200, 2500)) * time.Millisecond
 		fields := []string{stringField("at", fmt.Sprintf("%dms", at.Milliseconds())), stringField("do", do),
