Log times with milliseconds

Need: in the incident's logs all lines of a second bear the same time; the order of what two processes did can't be read. Change: RFC 3339 with milliseconds. Result: TestLogTimesHaveMilliseconds holds the form.

--- a/cmd/thymebend/config_test.go
+++ b/cmd/thymebend/config_test.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"encoding/json"
 	"strings"
 	"testing"
+	"time"
 )
 
 // Guards against an error that does not name the invalid field of a configuration.
@@ -24,3 +26,18 @@
 		}
 	}
 }
+
+// Guards against log lines whose order within a second can't be compared between processes.
+func TestLogTimesHaveMilliseconds(t *testing.T) {
+	cmd, _ := configure(t, endpointList(1, true), "127.0.0.1:1", map[string]any{"listen": "nowhere"})
+	out, _ := cmd.CombinedOutput() // the program ends with an error
+	var line struct {
+		Time string `json:"time"`
+	}
+	if err := json.Unmarshal(out, &line); err != nil {
+		t.Fatalf("output %q: %v", out, err)
+	}
+	if _, err := time.Parse("2006-01-02T15:04:05.000Z07:00", line.Time); err != nil {
+		t.Error(err)
+	}
+}
--- a/cmd/thymebend/main.go
+++ b/cmd/thymebend/main.go
@@ -29,8 +29,12 @@
 	}
 }
 
+// logTimeFormat is RFC 3339 with milliseconds: within one second, the order of events in several processes matters.
+const logTimeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // newLogger returns a logger that writes to standard error. Its level is info if level is empty or unknown.
 func newLogger(level string) zerolog.Logger {
+	zerolog.TimeFieldFormat = logTimeFormat
 	log := zerolog.New(os.Stderr).With().Timestamp().Logger().Level(zerolog.InfoLevel)
 	if parsed, err := zerolog.ParseLevel(level); err == nil && level != "" {
 		log = log.Level(parsed)
