Reset connections that came up while an emulated host was unreachable

Cause, by the gateways' logs in milliseconds: the attempt was written at 10.535 s and given up at 10.593; the drain was told at 10.763; the emulated host read the bytes at 11.07, when it was reachable again. The kernel of the rig had accepted the connection. Change: the host resets it. No rule is changed.

--- a/internal/lab/emulation/emulation_test.go
+++ b/internal/lab/emulation/emulation_test.go
@@ -416,3 +416,37 @@
 	}
 	h.Close()
 }
+
+// Guards against requests that arrive long after they were sent, and break the rule on draining hosts, because they were
+// sent on a connection that came up while their host was unreachable.
+func TestConnectionToSilentHostIsResetOnceReachable(t *testing.T) {
+	var arrivals []string
+	h, addr := startHost(t, Options{OnArrival: func(_, _, id string, _ time.Duration) { arrivals = append(arrivals, id) }})
+	if err := h.SetMode(Silent); err != nil {
+		t.Fatal(err)
+	}
+	var inputs []*bufio.Reader
+	for range 3 {
+		c := dial(t, addr)
+		sendRequest(c, "lost")
+		inputs = append(inputs, bufio.NewReader(c))
+	}
+	waitFor(t, "the connections to be accepted", func() bool { return h.heldConns() == len(inputs) })
+	if err := h.SetMode(Up); err != nil {
+		t.Fatal(err)
+	}
+	for n, in := range inputs {
+		if _, err := in.Peek(1); !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("connection %d: %v, want a reset", n, err)
+		}
+	}
+	c := dial(t, addr)
+	sendRequest(c, "later")
+	if _, body, err := readResponse(bufio.NewReader(c)); err != nil || !strings.Contains(body, "id=later") {
+		t.Errorf("a new connection: error %v, body %q", err, body)
+	}
+	h.Close()
+	if len(arrivals) != 1 || arrivals[0] != "later" {
+		t.Errorf("arrivals %v, want only the last request", arrivals)
+	}
+}
--- a/internal/lab/emulation/host.go
+++ b/internal/lab/emulation/host.go
@@ -92,6 +92,7 @@
 	mode         Mode
 	listeners    []*hostListener
 	conns        map[*conn]bool
+	held         int // connections that came up while the host was silent, and are reset once it is reachable
 	replyWaiters map[uint64]chan hostmodel.Reply
 	timer        *time.Timer
 	faults       map[Fault]faultShare
@@ -170,7 +171,12 @@
 			continue
 		}
 		h.mu.Lock()
-		h.waitWhileSilent()
+		if h.mode == Silent {
+			h.held++
+			h.running.Go(func() { h.resetOnceReachable(raw) })
+			h.mu.Unlock()
+			continue
+		}
 		c := &conn{Conn: raw, gateway: l.gateway, model: h.model}
 		if h.closed || h.mode == Refuse || !h.model.Connected(h.clock()) {
 			h.mu.Unlock()
@@ -183,6 +189,19 @@
 	}
 }
 
+// resetOnceReachable resets a connection that came up while the host was silent. To an unreachable machine no connection
+// comes up; the kernel of this one accepts it, and what it carries must not arrive when the host is reachable again.
+func (h *Host) resetOnceReachable(raw net.Conn) {
+	h.mu.Lock()
+	h.waitWhileSilent()
+	h.held--
+	h.mu.Unlock()
+	resetConn(raw)
+}
+
+// heldConns returns the number of connections that are to be reset once the host is reachable.
+func (h *Host) heldConns() int { h.mu.Lock(); defer h.mu.Unlock(); return h.held }
+
 // waitWhileSilent waits while the mode is Silent, until the machine is reachable again or the host is closed. h.mu
 // must be held.
 func (h *Host) waitWhileSilent() {
