Open the additional connection as a spare, in the background

Change: the attempt takes the quiet connection; past 60 ms of waits a spare connection is dialled for later attempts.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -133,12 +133,17 @@
 		}
 		a.dropConn(oldest, ReasonIdleClosed)
 	}
-	conn := a.pool.Open(att.endpoint)
-	a.stats.upstream.opened++
-	a.bind(att, conn)
+	a.bind(att, a.dial(att.endpoint))
 	connectDeadline := a.now + a.cfg.Settings.Gateway.ConnectTimeout
 	a.setTimer(timerAttempt, att.id, min(att.deadline, connectDeadline))
-	a.emit(loop.Effect{Op: loop.Dial, Conn: conn.ID, Addr: a.discovery.endpoints.Find(att.endpoint).Addr})
+}
+
+// dial opens a new connection to an endpoint of the list.
+func (a *attemptTable) dial(endpoint balancer.EndpointID) *upstream.Conn {
+	conn := a.pool.Open(endpoint)
+	a.stats.upstream.opened++
+	a.emit(loop.Effect{Op: loop.Dial, Conn: conn.ID, Addr: a.discovery.endpoints.Find(endpoint).Addr})
+	return conn
 }
 
 // reuse writes an attempt on an idle connection, or makes it wait for the end of the connection's quiet time.
@@ -148,12 +153,21 @@
 		conn.Phase = upstream.Quiet
 		a.stats.upstream.waited++
 		a.setTimer(timerUpstream, uint64(conn.ID), writableAt)
+		if a.pool.NeedsSpare(att.endpoint, writableAt-a.now) && a.mayKeepIdle(conn) {
+			a.dialSpare(att.endpoint)
+		}
 		return
 	}
 	a.stopTimer(timerUpstream, uint64(conn.ID))
 	a.writeRequest(att, loop.WriteIfIdle)
 }
 
+// dialSpare opens a connection for later attempts. If it is not established in time, it is closed.
+func (a *attemptTable) dialSpare(endpoint balancer.EndpointID) {
+	spare := a.dial(endpoint)
+	a.setTimer(timerUpstream, uint64(spare.ID), a.now+a.cfg.Settings.Gateway.ConnectTimeout)
+}
+
 // quietTimeOver writes the attempt that has waited for a connection. Its wait says nothing about its endpoint.
 func (a *attemptTable) quietTimeOver(conn *upstream.Conn) {
 	att := a.byConn[conn.ID]
--- a/internal/gateway/quiettime_test.go
+++ b/internal/gateway/quiettime_test.go
@@ -150,3 +150,58 @@
 		t.Errorf("the client received %q, want an error", got)
 	}
 }
+
+// Guards against attempts that wait for the one connection to a busy endpoint again and again, and against a spare
+// connection that is used before it is established, is kept to an endpoint that leaves, or stays half open for ever.
+func TestSpareConnectionForABusyEndpoint(t *testing.T) {
+	busy := func(t *testing.T) (r *rig, conn, spare loop.Conn) {
+		r, conn = waitingForQuiet(t)
+		for range 5 {
+			r.advance(upstream.MinQuietTime)
+			r.respond(conn, "200 OK")
+			r.sendRequest(0, 0)
+			r.endTurn()
+		}
+		spare = r.lastDialled(endpointAddr(1))
+		if spare == conn {
+			t.Fatal("no spare connection was opened")
+		}
+		if n := bytes.Count(r.written[spare], []byte(" HTTP/1.1\r\n")); n != 0 {
+			t.Fatalf("%d requests on a connection that is not established", n)
+		}
+		return r, conn, spare
+	}
+	t.Run("serves a later request", func(t *testing.T) {
+		r, conn, spare := busy(t)
+		r.establish(spare)
+		r.advance(upstream.MinQuietTime)
+		r.respond(conn, "200 OK")
+		r.sendRequest(0, 0)
+		r.endTurn()
+		if n := bytes.Count(r.written[spare], []byte(" HTTP/1.1\r\n")); n != 1 {
+			t.Errorf("%d requests on the spare connection, want 1 at once", n)
+		}
+	})
+	t.Run("not established in time", func(t *testing.T) {
+		r, _, spare := busy(t)
+		r.advance(time.Second)
+		if !r.closed[spare] {
+			t.Error("the connection stays half open")
+		}
+	})
+	t.Run("fails", func(t *testing.T) {
+		r, _, spare := busy(t)
+		r.step(loop.Event{Kind: loop.Broken, Conn: spare})
+		if r.g.attempts.pool.Find(spare) != nil || r.g.stats.ends[ReasonConnectFailed] != 0 {
+			t.Error("the connection is kept, or counted as a failed attempt")
+		}
+	})
+	t.Run("the endpoint leaves", func(t *testing.T) {
+		r, _, spare := busy(t)
+		w := r.connectWatch()
+		r.sendLine(w, listLine(2, false, listEntry(1, "draining", 0)))
+		if !r.closed[spare] {
+			t.Error("the connection stays open")
+		}
+	})
+}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -20,6 +20,10 @@
 	case loop.Readable:
 		a.emit(loop.Effect{Op: loop.Read, Conn: conn.ID})
 	case loop.Connected:
+		if att == nil {
+			a.spareConnected(conn)
+			return
+		}
 		a.setTimer(timerAttempt, att.id, att.deadline)
 		a.writeRequest(att, loop.WriteIfIdle)
 	case loop.Flushed:
@@ -39,6 +43,16 @@
 	}
 }
 
+// spareConnected keeps a connection that was opened for later attempts. Its quiet time begins now.
+func (a *attemptTable) spareConnected(conn *upstream.Conn) {
+	conn.LastByte = a.now
+	if a.mayKeepIdle(conn) {
+		a.keepIdle(conn)
+		return
+	}
+	a.dropConn(conn, ReasonIdleClosed)
+}
+
 // nothingWritten handles a connection whose endpoint has sent bytes or closed it before the request could be written. If
 // the connection was idle, the attempt starts again on another one. A new connection has failed: opening further ones to
 // an endpoint that does so would have no end.
@@ -189,6 +203,8 @@
 	for _, conn := range a.pool.UnwrittenTo(leaving) {
 		if att := a.byConn[conn.ID]; att != nil {
 			a.end(att, ReasonEndpointLeft, nil)
+		} else {
+			a.dropConn(conn, ReasonEndpointLeft)
 		}
 	}
 }
@@ -196,8 +212,8 @@
 // scale returns a duration multiplied by a factor.
 func scale(d time.Duration, factor float64) time.Duration { return time.Duration(float64(d) * factor) }
 
-// connTimerDue closes an idle connection before its endpoint does, or ends the quiet time of a connection for which an
-// attempt waits.
+// connTimerDue closes an idle connection before its endpoint does, closes a spare one that was not established in time, or
+// ends the quiet time of a connection for which an attempt waits.
 func (a *attemptTable) connTimerDue(c loop.Conn) {
 	conn := a.pool.Find(c)
 	switch {
@@ -206,5 +222,7 @@
 		a.dropConn(conn, ReasonIdleClosed)
 	case conn.Phase == upstream.Quiet:
 		a.quietTimeOver(conn)
+	case conn.Phase == upstream.Connecting:
+		a.dropConn(conn, ReasonConnectTimeout)
 	}
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -58,8 +58,8 @@
 // Acquire removes an idle connection to an endpoint from the idle connections, and returns it with the time from which a
 // request may be written to it. That time is now for the most recently released connection whose quiet time is over:
 // using the most recent one first lets connections that are not needed stay idle until they are closed. Without such a
-// connection it is the end of the quiet time that ends first. Acquire returns nil, so that a new connection is opened, if
-// there is no idle connection, or if the attempt should not wait for that one and the pool has room.
+// connection it is the end of the quiet time that ends first. Acquire returns nil if there is no idle connection, or if
+// that time is more than maxQuietWait ahead.
 func (p *Pool) Acquire(endpoint balancer.EndpointID, now time.Duration) (c *Conn, writableAt time.Duration) {
 	quietTime := p.quiet.of(endpoint, now)
 	for _, candidate := range slices.Backward(p.idle[endpoint]) {
@@ -71,16 +71,19 @@
 			break
 		}
 	}
-	switch wait := writableAt - now; {
-	case c == nil, wait > maxQuietWait:
-		return nil, 0
-	case !p.quiet.mayWait(endpoint, wait) && !p.Full():
+	if c == nil || writableAt-now > maxQuietWait {
 		return nil, 0
 	}
 	p.removeIdle(c)
 	return c, writableAt
 }
 
+// NeedsSpare records that an attempt waits for the quiet time of a connection to an endpoint, and reports whether attempts
+// at the endpoint wait so often that a spare connection to it should be opened.
+func (p *Pool) NeedsSpare(endpoint balancer.EndpointID, wait time.Duration) bool {
+	return p.quiet.addWait(endpoint, wait) && !p.Full()
+}
+
 // Forget removes what is known of the connections to an endpoint that has left or restarted.
 func (p *Pool) Forget(endpoint balancer.EndpointID) { p.quiet.forget(endpoint) }
 
--- a/internal/upstream/quiettime.go
+++ b/internal/upstream/quiettime.go
@@ -21,8 +21,8 @@
 	// maxQuietWait is how long an attempt waits for the end of a connection's quiet time rather than have a new
 	// connection opened, which costs its endpoint a handshake.
 	maxQuietWait = MinQuietTime
-	// maxTotalWait is how long the attempts at an endpoint wait together before another connection is opened for one of
-	// them: a connection that stays is worth its handshake where attempts wait often.
+	// maxTotalWait is how long the attempts at an endpoint wait together before a spare connection is opened for later
+	// ones: a connection that stays is worth its handshake where attempts wait often.
 	maxTotalWait = 60 * time.Millisecond
 )
 
@@ -46,16 +46,11 @@
 	return MinQuietTime
 }
 
-// mayWait reports whether an attempt at an endpoint is to wait for the given time rather than have a new connection
-// opened, and adds the time to the endpoint's waits.
-func (q *quietTimes) mayWait(endpoint balancer.EndpointID, wait time.Duration) bool {
-	if q.waited[endpoint]+wait > maxTotalWait {
-		return false
-	}
-	if wait > 0 {
-		q.waited[endpoint] += wait
-	}
-	return true
+// addWait adds the time that an attempt waits for a connection to an endpoint, and reports whether the waits since a
+// connection to it was last opened exceed maxTotalWait.
+func (q *quietTimes) addWait(endpoint balancer.EndpointID, wait time.Duration) bool {
+	q.waited[endpoint] += wait
+	return q.waited[endpoint] > maxTotalWait
 }
 
 // forget removes what is known of an endpoint.
