Soak: leave at least two hosts that are not drained for good

Cause: two events drained two of three hosts each; a gateway that restarted then had an empty list, which is not ready by design. Change: a drain that would leave fewer than two hosts is drawn as a replacement. Result: TestSoaksLeaveHosts over 500 seeds.

--- a/internal/lab/soak/draw.go
+++ b/internal/lab/soak/draw.go
@@ -74,6 +74,7 @@
 	random   *rand.Rand
 	gateways int
 	hosts    int
+	drained  int // hosts that are drained without a replacement
 	length   time.Duration
 	// invalidConfig holds the gateways that get an invalid configuration file at some time. A process started while the
 	// file is invalid must not run, so these gateways get no process faults.
@@ -168,8 +169,11 @@
 	do := g.oneOf("host-drain", "host-replace", "host-down", "host-cold", "host-cut", "host-hang",
 		"host-noreply", "host-pause", "host-slow",
 		"host-errors", "host-spoil", "host-spoil", "host-spoil")
-	fields := []string{stringField("at", g.startTime()), stringField("do", do),
-		numberField("count", g.intBetween(1, 2))}
+	at, count := g.startTime(), g.intBetween(1, 2)
+	if do == "host-drain" {
+		do = g.drainOrReplace(count)
+	}
+	fields := []string{stringField("at", at), stringField("do", do), numberField("count", count)}
 	if do != "host-cold" {
 		fields = append(fields, stringField("for", g.milliseconds(300, 5000)))
 	}
@@ -189,6 +193,19 @@
 	g.writeTable("event", fields...)
 }
 
+// minHosts is the number of hosts that are not drained for good: a gateway that starts without any is not ready.
+const minHosts = 2
+
+// drainOrReplace returns the kind of event that drains a number of hosts: with replacements where fewer than minHosts would
+// be left.
+func (g *generator) drainOrReplace(count int) string {
+	if g.hosts-g.drained-count < minHosts {
+		return "host-replace"
+	}
+	g.drained += count
+	return "host-drain"
+}
+
 // discoveryEvent draws a fault of discovery.
 func (g *generator) discoveryEvent() {
 	switch do := g.oneOf("discovery-down", "discovery-mute", "discovery-flap", "discovery-lag"); do {
--- a/internal/lab/soak/draw_test.go
+++ b/internal/lab/soak/draw_test.go
@@ -91,3 +91,29 @@
 		t.Errorf("%d of %d requests served, want at least half", res.Load.OK, res.Load.Scheduled)
 	}
 }
+
+// Guards against soaks that drain all hosts for good: a gateway that restarts then can't become ready, and the soak ends.
+func TestSoaksLeaveHosts(t *testing.T) {
+	for seed := range uint64(500) {
+		text, err := Text(Options{Seed: seed})
+		if err != nil {
+			t.Fatal(err)
+		}
+		hosts, drained := 0, 0
+		for table := range strings.SplitSeq(text, "[[") {
+			count := 0
+			if _, rest, found := strings.Cut(table, "\ncount = "); found {
+				_, _ = fmt.Sscan(rest, &count)
+			}
+			switch {
+			case strings.HasPrefix(table, "hosts]]"):
+				hosts += count
+			case strings.Contains(table, `do = "host-drain"`):
+				drained += count
+			}
+		}
+		if hosts-drained < minHosts {
+			t.Errorf("seed %d: %d of %d hosts are drained", seed, drained, hosts)
+		}
+	}
+}
