Leave half of the upstream limit to attempts when opening spare connections

Seen: TestUpgradeClosesNoConnectionWithAnOlderTimeout/5, 4,745 of 6,000 requests served, want 4,800. Cause: at a limit of 256 descriptors, halved in an upgrade, spare connections to 60 hosts took the room of attempts. Change: a spare connection is opened only while less than half of the limit is in use. Result: the test holds; TestWaitsAddUpToASpareConnection demands the bound.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -79,9 +79,10 @@
 }
 
 // NeedsSpare records that an attempt waits for the quiet time of a connection to an endpoint, and reports whether attempts
-// at the endpoint wait so often that a spare connection to it should be opened.
+// at the endpoint wait so often that a spare connection to it should be opened. Spare connections leave half of the limit
+// to attempts that have no connection.
 func (p *Pool) NeedsSpare(endpoint balancer.EndpointID, wait time.Duration) bool {
-	return p.quiet.addWait(endpoint, wait) && !p.Full()
+	return p.quiet.addWait(endpoint, wait) && len(p.conns) < p.max/2
 }
 
 // Forget removes what is known of the connections to an endpoint that has left or restarted.
