Drain an emulated host once, though two events name it

Cause: two overlapping events drained h0-1; it was closed twice and its record stood twice in the comparison ("h0-1 gone" at 6.65 and 10.44 s). No gateway did anything wrong. Change: the second drain does nothing but a mark.

--- a/internal/lab/experiment/events.go
+++ b/internal/lab/experiment/events.go
@@ -138,8 +138,13 @@
 }
 
 // drain removes a host in an orderly way: discovery lists it as draining, the host finishes the requests it has, then
-// discovery lists it as removed and the host is closed.
-func (w *World) drain(ctx context.Context, e Event, m *managedHost) {
+// discovery lists it as removed and the host is closed. It returns false, and does nothing, if an earlier event drains the
+// host.
+func (w *World) drain(ctx context.Context, e Event, m *managedHost) bool {
+	if !m.leaves.CompareAndSwap(false, true) {
+		w.addMark("%s drains already", m.Name)
+		return false
+	}
 	w.addMark("%s drains", m.Name)
 	w.publish(m, emulation.StateDraining, m.entry.StartedMS)
 	lag := w.File.Discovery.Lag.Duration
@@ -154,6 +159,7 @@
 	w.closedRecords = append(w.closedRecords, record)
 	w.mu.Unlock()
 	w.addMark("%s gone", m.Name)
+	return true
 }
 
 // applyToGateways applies an event to the gateway whose number is e.Gateway or, if e.Gateway is -1, to all gateways
--- a/internal/lab/experiment/hostevents.go
+++ b/internal/lab/experiment/hostevents.go
@@ -62,7 +62,9 @@
 // replace drains the host and starts a new one of the same kind at the same addresses.
 func (h hostEvent) replace() error {
 	w, m := h.world, h.host
-	w.drain(h.ctx, h.event, m)
+	if !w.drain(h.ctx, h.event, m) {
+		return nil
+	}
 	w.mu.Lock()
 	number := m.spec.Count + w.replacements
 	w.replacements++
--- a/internal/lab/experiment/run_test.go
+++ b/internal/lab/experiment/run_test.go
@@ -186,3 +186,37 @@
 		}
 	}
 }
+
+// Guards against a host that two events drain: it would be closed twice and its record counted twice, as if each request
+// had been executed twice.
+func TestHostDrainedTwiceIsCountedOnce(t *testing.T) {
+	f, err := Parse("x.toml", []byte(smallExperiment+`
+[[event]]
+at = "200ms"
+do = "host-drain"
+count = 2
+for = "100ms"
+
+[[event]]
+at = "300ms"
+do = "host-replace"
+count = 2
+for = "100ms"
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := runExperiment(t, f, program)
+	if !r.RulesHeld {
+		t.Errorf("findings: %+v", r.Findings)
+	}
+	already := 0
+	for _, e := range r.Events {
+		if strings.HasSuffix(e.Text, "drains already") {
+			already++
+		}
+	}
+	if already == 0 {
+		t.Errorf("no host was drained a second time; events %+v", r.Events)
+	}
+}
--- a/internal/lab/experiment/world.go
+++ b/internal/lab/experiment/world.go
@@ -51,6 +51,7 @@
 	entry  emulation.Entry
 	spec   Hosts
 	number int
+	leaves atomic.Bool // drained, for good
 	gone   atomic.Bool // closed
 	hostSeries
 }
