Pass changes of the endpoint list to the successor of a hot restart

Discovery told the predecessor, which was still ending, at 35.065 s by the logs; the successor's call had got 503 at 34.707 and the next came seconds later, as its back-off has it. Change: from the handover on the predecessor passes its list when endpoints leave, move or restart, in the message that passes connections (older processes ignore the list); the successor applies it unless its own watch is open. The other way round, from successor to predecessor, nothing is passed: open.

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -36,6 +36,7 @@
 	*core
 	assignment *subsetAssignment
 	attempts   *attemptTable
+	restart    *hotRestart
 
 	endpoints   *discovery.Endpoints
 	startTimes  starttime.StartTimes // start times of endpoints, on this process's clock
--- a/internal/gateway/discovery_updates.go
+++ b/internal/gateway/discovery_updates.go
@@ -72,6 +72,7 @@
 	d.assignment.endpointListChanged()
 	d.dispatchNeeded = true
 	d.notifyBalancer(kind, update.Entries)
+	d.shareChanges(update)
 	return nil
 }
 
@@ -121,6 +122,14 @@
 		d.attempts.endpointsChanged(update.Changed)
 		d.dispatchNeeded = true
 		d.notifyBalancer(balancer.Delta, update.Entries)
+		d.shareChanges(update)
+	}
+}
+
+// shareChanges passes the list to the successor of a hot restart if endpoints leave, move or restart.
+func (d *discoveryWatch) shareChanges(update discovery.Update) {
+	if len(update.Changed) > 0 {
+		d.restart.shareList()
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,7 +102,7 @@
 	*g.assignment = subsetAssignment{core: g.core, cluster: g.cluster, discovery: g.discovery, restart: g.restart}
 	*g.cluster = cluster{core: g.core, assignment: g.assignment, shutdown: g.shutdown}
 	*g.discovery = discoveryWatch{
-		core: g.core, assignment: g.assignment, attempts: g.attempts,
+		core: g.core, assignment: g.assignment, attempts: g.attempts, restart: g.restart,
 		endpoints: discovery.NewEndpoints(g.cfg.Settings.Gateway.Zones),
 		backoff:   backoff.Backoff{Initial: redialInterval},
 		rand:      rand.New(rand.NewPCG(g.cfg.Seed, randStream)),
--- a/internal/gateway/hotrestart_predecessor.go
+++ b/internal/gateway/hotrestart_predecessor.go
@@ -99,6 +99,19 @@
 	}
 }
 
+// shareList passes the endpoint list to the successor after a change. What discovery tells this process, the gateway has
+// been told, and the successor's own watch may still be closed.
+func (h *hotRestart) shareList() {
+	if h.successor == nil || h.handover == notHandedOver {
+		return
+	}
+	h.send(h.successor, hotrestart.Message{
+		Kind:            hotrestart.PassConns,
+		List:            h.discovery.endpoints.Encode(),
+		DescriptorsHeld: h.descriptors(),
+	}, nil)
+}
+
 // passIdleConns passes the idle downstream connections to the successor. It is called at the end of a turn of
 // the loop, when all data that were read from them have been handled; unread data stay in the socket and are
 // passed with it.
--- a/internal/gateway/hotrestart_successor.go
+++ b/internal/gateway/hotrestart_successor.go
@@ -40,17 +40,20 @@
 		}
 		h.predecessorDescriptors = m.DescriptorsHeld
 		h.resize()
+		if len(m.List) > 0 {
+			h.inheritList(m.List)
+			return // the predecessor waits for no Acknowledge of a list
+		}
 		h.send(h.predecessor, hotrestart.Message{Kind: hotrestart.Acknowledge}, nil)
 	default:
 		h.losePredecessor("no handover: " + string(m.Kind) + ": " + m.Reason)
 	}
 }
 
-// inherit applies the state of the predecessor. Its endpoint list is ignored if discovery has already sent this
-// process a list.
+// inherit applies the state of the predecessor.
 func (h *hotRestart) inherit(m hotrestart.Message) {
-	if len(m.List) > 0 && (h.discovery.current == nil || !h.discovery.current.Started()) {
-		h.inheritEndpoints(m.List)
+	if len(m.List) > 0 {
+		h.inheritList(m.List)
 	}
 	if m.Balancer != nil {
 		h.balancer.Restore(h.now, *m.Balancer)
@@ -61,6 +64,15 @@
 	h.resize()
 }
 
+// inheritList applies the predecessor's endpoint list, unless discovery has already sent this process a list on the watch
+// that is open now.
+func (h *hotRestart) inheritList(list []byte) {
+	if h.discovery.current == nil || !h.discovery.current.Started() {
+		h.dispatchNeeded = true
+		h.inheritEndpoints(list)
+	}
+}
+
 // inheritEndpoints applies the predecessor's list unless it is older than this process's list. With an older
 // list there would be a gap: the poll in progress requests the changes since this process's list.
 func (h *hotRestart) inheritEndpoints(list []byte) {
--- a/internal/gateway/hotrestart_test.go
+++ b/internal/gateway/hotrestart_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"thymebend/internal/hotrestart"
+	"thymebend/internal/loop"
 )
 
 // If an older list of the predecessor were applied, the changes between the two lists would never be received.
@@ -71,3 +72,38 @@
 		t.Errorf("the successor was not dropped, or the message not logged: %.300s", r.log.String())
 	}
 }
+
+// Guards against a successor that goes on sending to an endpoint whose drain discovery has told its predecessor, while the
+// successor's own watch is closed.
+func TestSuccessorIsToldWhatItsPredecessorIsTold(t *testing.T) {
+	list := listLine(1, true, listEntry(1, "up", 0), listEntry(2, "up", 0))
+	predecessor := newRig(t, "subscribe", list)
+	w := predecessor.connectWatch()
+	predecessor.sendLine(w, list)
+	const link = loop.Conn(1<<63 + 90)
+	predecessor.g.restart.successor, predecessor.g.restart.handover = &hotrestart.Conn{ID: link}, successorServes
+	predecessor.sendLine(w, listLine(2, false, listEntry(1, "draining", 0)))
+	if len(predecessor.written[link]) == 0 {
+		t.Fatal("nothing is passed to the successor")
+	}
+	for _, watching := range []bool{false, true} {
+		successor := newRig(t, "subscribe", list)
+		if watching {
+			successor.sendLine(successor.connectWatch(), listLine(3, true, listEntry(1, "up", 0), listEntry(2, "up", 0)))
+		}
+		successor.g.restart.predecessor = &hotrestart.Conn{ID: link}
+		successor.step(loop.Event{Kind: loop.Data, Conn: link, Data: predecessor.written[link]})
+		ready := 0
+		for _, ep := range successor.g.discovery.endpoints.All() {
+			if successor.g.discovery.isReady(ep.ID) {
+				ready++
+			}
+		}
+		if want := map[bool]int{false: 1, true: 2}[watching]; ready != want {
+			t.Errorf("own watch open %v: %d endpoints ready, want %d", watching, ready, want)
+		}
+		if successor.g.restart.predecessor == nil || len(successor.written[link]) > 0 {
+			t.Errorf("own watch open %v: the predecessor was dropped, or the list acknowledged", watching)
+		}
+	}
+}
