Open spare connections by the delay of queued requests

TestServesUnchangedOnReusedConnections: 3 connections for 10 requests of one client. TestEndpointStalledForOneClass: 4 to 9 view requests (want 200) at an endpoint of 3 ms, ejected as silent: waits of 30 ms kept its limit at one, and the sum of 60 ms was reached too late. TestHostModes: the emulated host reset a connection that had come up just before it was silent, since it had not accepted it yet. Change: a wait counts once for each request queued behind it, and 20 ms in sum open a spare. The third test waits until the host has accepted the connection that it calls open; nothing else of it is changed.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -153,7 +153,8 @@
 		conn.Phase = upstream.Quiet
 		a.stats.upstream.waited++
 		a.setTimer(timerUpstream, uint64(conn.ID), writableAt)
-		if a.pool.NeedsSpare(att.endpoint, writableAt-a.now) && a.mayKeepIdle(conn) {
+		if delay := time.Duration(a.requests.queued()) * (writableAt - a.now); a.pool.NeedsSpare(att.endpoint, delay) &&
+			a.mayKeepIdle(conn) {
 			a.dialSpare(att.endpoint)
 		}
 		return
--- a/internal/gateway/quiettime_test.go
+++ b/internal/gateway/quiettime_test.go
@@ -156,6 +156,10 @@
 func TestSpareConnectionForABusyEndpoint(t *testing.T) {
 	busy := func(t *testing.T) (r *rig, conn, spare loop.Conn) {
 		r, conn = waitingForQuiet(t)
+		for range 3 { // requests that are queued behind the one that waits
+			r.sendRequest(0, 0)
+		}
+		r.endTurn()
 		for range 5 {
 			r.advance(upstream.MinQuietTime)
 			r.respond(conn, "200 OK")
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -100,6 +100,9 @@
 	t.release(req)
 }
 
+// queued returns the number of requests that wait for an attempt.
+func (t *requestTable) queued() int { return max(0, len(t.byID)-len(t.attempts.byID)) }
+
 // timeLeft returns the time remaining until the client's timeout, for a request with a large body.
 func (t *requestTable) timeLeft(req *request) time.Duration {
 	if conn := t.downstream.conns.ByConn[req.client]; conn != nil {
--- a/internal/lab/emulation/emulation_test.go
+++ b/internal/lab/emulation/emulation_test.go
@@ -199,6 +199,7 @@
 	h, addr := startHost(t, Options{IdleTimeout: time.Minute})
 	c := dial(t, addr)
 	in := bufio.NewReader(c)
+	waitFor(t, "the connection to come up before the host is silent", func() bool { return h.Conns() == 1 })
 	set := func(m Mode) {
 		t.Helper()
 		if err := h.SetMode(m); err != nil {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -78,11 +78,11 @@
 	return c, writableAt
 }
 
-// NeedsSpare records that an attempt waits for the quiet time of a connection to an endpoint, and reports whether attempts
-// at the endpoint wait so often that a spare connection to it should be opened. Spare connections leave half of the limit
-// to attempts that have no connection.
-func (p *Pool) NeedsSpare(endpoint balancer.EndpointID, wait time.Duration) bool {
-	return p.quiet.addWait(endpoint, wait) && len(p.conns) < p.max/2
+// NeedsSpare records by how much the wait for the quiet time of a connection to an endpoint delays the requests that are
+// queued, all together, and reports whether such delays are so frequent that a spare connection to the endpoint should be
+// opened. Spare connections leave half of the limit to attempts that have no connection.
+func (p *Pool) NeedsSpare(endpoint balancer.EndpointID, delay time.Duration) bool {
+	return p.quiet.addDelay(endpoint, delay) && len(p.conns) < p.max/2
 }
 
 // Forget removes what is known of the connections to an endpoint that has left or restarted.
@@ -96,7 +96,7 @@
 
 // Open adds a new connection to an endpoint, in phase Connecting.
 func (p *Pool) Open(endpoint balancer.EndpointID) *Conn {
-	delete(p.quiet.waited, endpoint)
+	delete(p.quiet.delays, endpoint)
 	c := &Conn{ID: p.NextID(), Endpoint: endpoint, reader: http1.Reader{Response: true}}
 	p.conns[c.ID] = c
 	return c
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -91,20 +91,20 @@
 	}
 }
 
-// Guards against attempts that wait again and again where another connection would serve them, and against waits that are
-// added up for ever.
-func TestWaitsAddUpToASpareConnection(t *testing.T) {
+// Guards against requests that are delayed again and again where another connection would serve them, and against delays
+// that are added up for ever.
+func TestDelaysAddUpToASpareConnection(t *testing.T) {
 	pool := NewPool(6)
 	pool.Open(2)
 	pool.Open(1)
-	waits := int(maxTotalWait / ms(10))
+	waits := int(maxTotalDelay / ms(10))
 	for n := range waits {
 		if pool.NeedsSpare(1, ms(10)) {
 			t.Fatalf("a spare connection after %d waits of 10 ms", n+1)
 		}
 	}
 	if !pool.NeedsSpare(1, ms(10)) || pool.NeedsSpare(2, ms(10)) {
-		t.Errorf("no spare connection after waits of more than %v, or one to another endpoint", maxTotalWait)
+		t.Errorf("no spare connection after waits of more than %v, or one to another endpoint", maxTotalDelay)
 	}
 	pool.Open(1)
 	for range 2 * waits {
@@ -114,8 +114,8 @@
 	}
 	pool.Resize(8)
 	pool.Forget(1)
-	if pool.NeedsSpare(1, ms(10)) || len(pool.quiet.waited) != 2 {
-		t.Errorf("the waits were not forgotten: %v", pool.quiet.waited)
+	if pool.NeedsSpare(1, ms(10)) || len(pool.quiet.delays) != 2 {
+		t.Errorf("the delays were not forgotten: %v", pool.quiet.delays)
 	}
 }
 
--- a/internal/upstream/quiettime.go
+++ b/internal/upstream/quiettime.go
@@ -21,15 +21,15 @@
 	// maxQuietWait is how long an attempt waits for the end of a connection's quiet time rather than have a new
 	// connection opened, which costs its endpoint a handshake.
 	maxQuietWait = MinQuietTime
-	// maxTotalWait is how long the attempts at an endpoint wait together before a spare connection is opened for later
-	// ones: a connection that stays is worth its handshake where attempts wait often.
-	maxTotalWait = 60 * time.Millisecond
+	// maxTotalDelay is how long waits for connections to an endpoint delay queued requests, all together, before a spare
+	// connection is opened: a connection that stays is worth its handshake where requests are delayed often.
+	maxTotalDelay = 20 * time.Millisecond
 )
 
-// quietTimes holds the quiet times of endpoints, and how long attempts have waited for them.
+// quietTimes holds the quiet times of endpoints, and the delays that waiting for them has caused.
 type quietTimes struct {
 	raised map[balancer.EndpointID]raisedQuietTime
-	waited map[balancer.EndpointID]time.Duration // since a connection to the endpoint was last opened
+	delays map[balancer.EndpointID]time.Duration // since a connection to the endpoint was last opened
 }
 
 // raisedQuietTime is the quiet time of an endpoint that has sent unsolicited bytes.
@@ -46,17 +46,17 @@
 	return MinQuietTime
 }
 
-// addWait adds the time that an attempt waits for a connection to an endpoint, and reports whether the waits since a
-// connection to it was last opened exceed maxTotalWait.
-func (q *quietTimes) addWait(endpoint balancer.EndpointID, wait time.Duration) bool {
-	q.waited[endpoint] += wait
-	return q.waited[endpoint] > maxTotalWait
+// addDelay adds the delay that the wait for a connection to an endpoint causes, and reports whether the delays since a
+// connection to it was last opened exceed maxTotalDelay.
+func (q *quietTimes) addDelay(endpoint balancer.EndpointID, delay time.Duration) bool {
+	q.delays[endpoint] += delay
+	return q.delays[endpoint] > maxTotalDelay
 }
 
 // forget removes what is known of an endpoint.
 func (q *quietTimes) forget(endpoint balancer.EndpointID) {
 	delete(q.raised, endpoint)
-	delete(q.waited, endpoint)
+	delete(q.delays, endpoint)
 }
 
 // raise extends the quiet time of an endpoint that has sent bytes that belong to no request, late after its last byte. It
@@ -76,6 +76,6 @@
 func newQuietTimes() quietTimes {
 	return quietTimes{
 		raised: make(map[balancer.EndpointID]raisedQuietTime),
-		waited: make(map[balancer.EndpointID]time.Duration),
+		delays: make(map[balancer.EndpointID]time.Duration),
 	}
 }
