Let the gateways of a cluster share sixteen spare connections to each endpoint

Cause: each gateway opened spare connections to a busy host on its own. Change: sixteen for each endpoint, divided by the number of gateways in the settings.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -133,17 +133,17 @@
 		}
 		a.dropConn(oldest, ReasonIdleClosed)
 	}
-	a.bind(att, a.dial(att.endpoint))
+	conn := a.pool.Open(att.endpoint)
+	a.bind(att, conn)
+	a.dial(conn)
 	connectDeadline := a.now + a.cfg.Settings.Gateway.ConnectTimeout
 	a.setTimer(timerAttempt, att.id, min(att.deadline, connectDeadline))
 }
 
-// dial opens a new connection to an endpoint of the list.
-func (a *attemptTable) dial(endpoint balancer.EndpointID) *upstream.Conn {
-	conn := a.pool.Open(endpoint)
+// dial connects a new connection to its endpoint, which is in the list.
+func (a *attemptTable) dial(conn *upstream.Conn) {
 	a.stats.upstream.opened++
-	a.emit(loop.Effect{Op: loop.Dial, Conn: conn.ID, Addr: a.discovery.endpoints.Find(endpoint).Addr})
-	return conn
+	a.emit(loop.Effect{Op: loop.Dial, Conn: conn.ID, Addr: a.discovery.endpoints.Find(conn.Endpoint).Addr})
 }
 
 // reuse writes an attempt on an idle connection, or makes it wait for the end of the connection's quiet time.
@@ -153,8 +153,8 @@
 		conn.Phase = upstream.Quiet
 		a.stats.upstream.waited++
 		a.setTimer(timerUpstream, uint64(conn.ID), writableAt)
-		if delay := time.Duration(a.requests.queued()) * (writableAt - a.now); a.pool.NeedsSpare(att.endpoint, delay) &&
-			a.mayKeepIdle(conn) {
+		delay := time.Duration(a.requests.queued()) * (writableAt - a.now)
+		if a.pool.NeedsSpare(att.endpoint, delay, a.cfg.Settings.Config.Gateways) && a.mayKeepIdle(conn) {
 			a.dialSpare(att.endpoint)
 		}
 		return
@@ -165,7 +165,8 @@
 
 // dialSpare opens a connection for later attempts. If it is not established in time, it is closed.
 func (a *attemptTable) dialSpare(endpoint balancer.EndpointID) {
-	spare := a.dial(endpoint)
+	spare := a.pool.OpenSpare(endpoint)
+	a.dial(spare)
 	a.setTimer(timerUpstream, uint64(spare.ID), a.now+a.cfg.Settings.Gateway.ConnectTimeout)
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -29,6 +29,7 @@
 	Phase    Phase
 	Requests int           // requests that were written on this connection, including the current one
 	LastByte time.Duration // when the last byte of the endpoint arrived; 0 before the first
+	spare    bool          // opened for later attempts
 	reader   http1.Reader
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -17,13 +17,14 @@
 	max        int                             // the limit on the number of connections
 	lastConnID loop.Conn                       // the highest number given to a connection
 	quiet      quietTimes
+	spares     map[balancer.EndpointID]int // spare connections
 }
 
 // NewPool returns an empty pool for at most limit connections.
 func NewPool(limit int) *Pool {
 	return &Pool{
 		conns: make(map[loop.Conn]*Conn), idle: make(map[balancer.EndpointID][]*Conn), max: limit,
-		quiet: newQuietTimes(),
+		quiet: newQuietTimes(), spares: make(map[balancer.EndpointID]int),
 	}
 }
 
@@ -80,9 +81,18 @@
 
 // NeedsSpare records by how much the wait for the quiet time of a connection to an endpoint delays the requests that are
 // queued, all together, and reports whether such delays are so frequent that a spare connection to the endpoint should be
-// opened. Spare connections leave half of the limit to attempts that have no connection.
-func (p *Pool) NeedsSpare(endpoint balancer.EndpointID, delay time.Duration) bool {
-	return p.quiet.addDelay(endpoint, delay) && len(p.conns) < p.max/2
+// opened. Spare connections leave half of the limit to attempts that have no connection, and the gateways of a cluster
+// share maxSpares to each endpoint.
+func (p *Pool) NeedsSpare(endpoint balancer.EndpointID, delay time.Duration, gateways int) bool {
+	return p.quiet.addDelay(endpoint, delay) && len(p.conns) < p.max/2 && p.spares[endpoint] < maxSpares/max(gateways, 1)
+}
+
+// OpenSpare adds a new connection to an endpoint, in phase Connecting, that is meant for later attempts.
+func (p *Pool) OpenSpare(endpoint balancer.EndpointID) *Conn {
+	c := p.Open(endpoint)
+	c.spare = true
+	p.spares[endpoint]++
+	return c
 }
 
 // Forget removes what is known of the connections to an endpoint that has left or restarted.
@@ -111,6 +121,11 @@
 // Remove removes a connection from the pool.
 func (p *Pool) Remove(c *Conn) {
 	p.removeIdle(c)
+	if p.conns[c.ID] == c && c.spare {
+		if p.spares[c.Endpoint]--; p.spares[c.Endpoint] == 0 {
+			delete(p.spares, c.Endpoint)
+		}
+	}
 	delete(p.conns, c.ID)
 }
 
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -99,26 +99,49 @@
 	pool.Open(1)
 	waits := int(maxTotalDelay / ms(10))
 	for n := range waits {
-		if pool.NeedsSpare(1, ms(10)) {
+		if pool.NeedsSpare(1, ms(10), 1) {
 			t.Fatalf("a spare connection after %d waits of 10 ms", n+1)
 		}
 	}
-	if !pool.NeedsSpare(1, ms(10)) || pool.NeedsSpare(2, ms(10)) {
+	if !pool.NeedsSpare(1, ms(10), 1) || pool.NeedsSpare(2, ms(10), 1) {
 		t.Errorf("no spare connection after waits of more than %v, or one to another endpoint", maxTotalDelay)
 	}
 	pool.Open(1)
 	for range 2 * waits {
-		if pool.NeedsSpare(1, ms(10)) {
+		if pool.NeedsSpare(1, ms(10), 1) {
 			t.Fatal("a spare connection although half of the limit is in use")
 		}
 	}
 	pool.Resize(8)
 	pool.Forget(1)
-	if pool.NeedsSpare(1, ms(10)) || len(pool.quiet.delays) != 2 {
+	if pool.NeedsSpare(1, ms(10), 1) || len(pool.quiet.delays) != 2 {
 		t.Errorf("the delays were not forgotten: %v", pool.quiet.delays)
 	}
 }
 
+// Guards against spare connections of many gateways that crowd an endpoint.
+func TestGatewaysShareTheSpareConnections(t *testing.T) {
+	for _, c := range []struct{ gateways, want int }{{0, maxSpares}, {1, maxSpares}, {3, maxSpares / 3}, {maxSpares, 1}, {60, 0}} {
+		pool := NewPool(100)
+		var last *Conn
+		opened := 0
+		for pool.NeedsSpare(1, time.Second, c.gateways) && opened < 50 {
+			last = pool.OpenSpare(1)
+			opened++
+		}
+		if opened != c.want {
+			t.Errorf("%d gateways: %d spare connections each, want %d", c.gateways, opened, c.want)
+		}
+		if last == nil {
+			continue
+		}
+		pool.Remove(last)
+		if !pool.NeedsSpare(1, time.Second, c.gateways) {
+			t.Errorf("%d gateways: no spare connection after one was closed", c.gateways)
+		}
+	}
+}
+
 // Guards against a distrusted endpoint that is kept for ever, or trusted again by a shorter delay.
 func TestDistrustIsRaisedAndForgotten(t *testing.T) {
 	quiet := newQuietTimes()
--- a/internal/upstream/quiettime.go
+++ b/internal/upstream/quiettime.go
@@ -24,6 +24,9 @@
 	// maxTotalDelay is how long waits for connections to an endpoint delay queued requests, all together, before a spare
 	// connection is opened: a connection that stays is worth its handshake where requests are delayed often.
 	maxTotalDelay = 20 * time.Millisecond
+	// maxSpares is the number of spare connections to an endpoint from all gateways together: an endpoint holds only so
+	// many connections.
+	maxSpares = 16
 )
 
 // quietTimes holds the quiet times of endpoints, and the delays that waiting for them has caused.
