Review cases: a slow reader's answer is cut off; cases renumbered, the gravest first

New case 1: clients that read a 6 MiB answer at 64 kB a second without a pause are reset after 11 s, because a full send buffer counts as written out only once a third of it is free, and the timeout of a piece is 10 s. The heads that never end are case 2 now, the planned restart case 3.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 run=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/balancer.toml)
 test -x review/bin/lab || { echo "review/build.sh has not been run" >&2; exit 2; }
-exec review/bin/lab flood "$run" review/1/record.txt
+exec review/bin/lab slow "$run" review/1/record.txt
--- a/review/_lab/client.go
+++ b/review/_lab/client.go
@@ -28,6 +28,9 @@
 	err      error
 }
 
+// limit returns how long after its last byte the request may be answered without being lost.
+func (q *request) limit() time.Duration { return q.patience + lateLimit + ruleSlack }
+
 // head returns the request's head.
 func (q *request) head() string {
 	head := fmt.Sprintf("%s /%s HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\nX-Expires-In: %dm\r\n",
--- a/review/_lab/flood.go
+++ b/review/_lab/flood.go
@@ -88,7 +88,7 @@
 	return nil
 }
 
-// sendOnce writes a small request at once and reads the answer.
+// sendOnce writes a small request at once and waits for the answer as long as it is not lost.
 func sendOnce(address string, q *request) {
 	conn, err := q.connect(address)
 	if err != nil {
@@ -99,5 +99,5 @@
 		return
 	}
 	q.lastByte = time.Now()
-	q.readAnswer(conn, 15*time.Second)
+	q.readAnswer(conn, q.limit())
 }
--- a/review/_lab/hang.go
+++ b/review/_lab/hang.go
@@ -37,7 +37,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		q.readAnswer(conn, 15*time.Second)
+		q.readAnswer(conn, 15*time.Second) // longer than its time, to see when the answer comes
 	}()
 	start := time.Now()
 	if _, err := conn.Write(append([]byte(q.head()), body...)); err != nil {
--- a/review/_lab/host.go
+++ b/review/_lab/host.go
@@ -18,11 +18,13 @@
 	service  time.Duration
 	rec      *record
 	listener net.Listener
+	long     int // size of the answers to GET, in bytes; 0 for short ones
 	hung     chan struct{}
 	ended    chan struct{}
 	hangOnce sync.Once
 	mu       sync.Mutex
-	runs     map[string]int // how often each request ran, by id
+	runs     map[string]int       // how often each request ran, by id
+	begun    map[string]time.Time // when the head of each request's last attempt came, by id
 }
 
 // newHost starts a host on a free port.
@@ -32,7 +34,8 @@
 		return nil, err
 	}
 	h := &host{name: name, address: listener.Addr().String(), service: service, rec: rec, listener: listener,
-		hung: make(chan struct{}), ended: make(chan struct{}), runs: make(map[string]int)}
+		hung: make(chan struct{}), ended: make(chan struct{}), runs: make(map[string]int),
+		begun: make(map[string]time.Time)}
 	go func() { _ = (&http.Server{Handler: h}).Serve(listener) }()
 	return h, nil
 }
@@ -77,6 +80,9 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	h.mu.Lock()
+	h.begun[id] = time.Now()
+	h.mu.Unlock()
 	n, err := io.Copy(io.Discard, hangingReader{h, r.Body})
 	if err != nil {
 		h.rec.printf("host %s: %s broke after %d bytes of its body: %v", h.name, id, n, err)
@@ -96,8 +102,13 @@
 		return
 	}
 	body := answerBody(id, n)
+	if h.long > 0 && r.Method == "GET" {
+		body = string(longBody(id, h.long))
+	}
 	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
-	_, _ = io.WriteString(w, body)
+	if sent, err := io.WriteString(w, body); err != nil {
+		h.rec.printf("host %s: the answer to %s broke after %d of %d bytes: %v", h.name, id, sent, len(body), err)
+	}
 }
 
 // answerBody is the body of a host's answer to a request.
@@ -111,3 +122,11 @@
 
 // isServedBody reports whether body is a host's answer to the request.
 func isServedBody(body, id string) bool { return strings.HasPrefix(body, "served "+id+" of ") }
+
+// attempt returns when the head of the last attempt of a request came, zero if none came, and whether the request came
+// whole.
+func (h *host) attempt(id string) (begun time.Time, whole bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.begun[id], h.runs[id] > 0
+}
--- a/review/_lab/main.go
+++ b/review/_lab/main.go
@@ -33,6 +33,8 @@
 	"restart": restartDuringUploads,
 	"upgrade": upgradeDuringSlowRequests,
 	"hang":    hangDuringUploads,
+	"slow":    slowReaders,
+	"gone":    clientsGone,
 	"flood":   floodOfEmptyLines,
 }
 
--- a/review/_lab/site.go
+++ b/review/_lab/site.go
@@ -171,7 +171,7 @@
 	return late
 }
 
-// judgeTimes checks that each request that was taken was answered no later than lateLimit after its time. It returns how
+// judgeTimes checks that each request that was taken was answered no later than lateLimit and ruleSlack after its time. It returns how
 // many were taken.
 func (s *site) judgeTimes(requests []*request) (taken int) {
 	for _, q := range requests {
@@ -181,13 +181,14 @@
 		}
 		taken++
 		if q.answered.IsZero() {
-			s.w.rec.breach("%s was taken and never answered: %v", q.id, q.err)
+			s.w.rec.breach("%s was taken and had no answer %.3f s after its time: %v", q.id,
+				(q.limit() - q.patience).Seconds(), q.err)
 			continue
 		}
 		after := q.answered.Sub(q.lastByte)
 		s.w.rec.printf("%s: %s %.3f s after its last byte, its time was %.3f s", q.id, q.outcome(), after.Seconds(),
 			q.patience.Seconds())
-		if after > q.patience+lateLimit+ruleSlack {
+		if after > q.limit() {
 			s.w.rec.breach("%s was answered %.3f s after its time", q.id, (after - q.patience).Seconds())
 		}
 	}
