--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p review/bin
-go build -o review/bin/lab ./review/_lab
+go build -o review/bin/lab ./review/testdata/lab
