Review: requests count as taken once acknowledged; nothing outlives a killed case

What: cases 3, upgrade and hang take a request as taken only when the gateway's machine has acknowledged its last byte. The host stand-in answers probes with 200, as the settings allow them. The process that plays a case stays on the thread that starts the gateways, so that they end with it.

--- a/review/testdata/lab/client.go
+++ b/review/testdata/lab/client.go
@@ -88,6 +88,22 @@
 	return n, err
 }
 
+// awaitTaken waits until the gateway's machine has acknowledged all that was written, records the time as that of the
+// last byte, and reports whether it has.
+func (q *request) awaitTaken(conn net.Conn, limit time.Duration) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		n, err := unacknowledged(conn)
+		if err != nil {
+			return false
+		}
+		if n == 0 {
+			q.lastByte = time.Now()
+			return true
+		}
+	}
+	return false
+}
+
 // outcome describes the result in a few words.
 func (q *request) outcome() string {
 	switch {
--- a/review/testdata/lab/hang.go
+++ b/review/testdata/lab/hang.go
@@ -44,18 +44,10 @@
 		<-done
 		return
 	}
-	for {
-		n, err := unacknowledged(conn)
-		if err != nil || time.Since(start) > 10*time.Second {
-			<-done
-			return
-		}
-		if n == 0 {
-			break
-		}
-		time.Sleep(time.Millisecond)
+	if !q.awaitTaken(conn, 10*time.Second) {
+		<-done
+		return
 	}
-	q.lastByte = time.Now()
 	rec.printf("%s: the gateway's machine has acknowledged its last byte, %.3f s after the first", q.id,
 		q.lastByte.Sub(start).Seconds())
 	<-done
--- a/review/testdata/lab/host.go
+++ b/review/testdata/lab/host.go
@@ -76,7 +76,10 @@
 // ServeHTTP implements http.Handler.
 func (h *host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Trace-Id")
-	if id == "" || r.URL.Path == "/healthz" || r.URL.Path == "/load" {
+	switch {
+	case r.URL.Path == "/healthz":
+		return // a probe: 200
+	case id == "":
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
--- a/review/testdata/lab/main.go
+++ b/review/testdata/lab/main.go
@@ -10,6 +10,7 @@
 import (
 	"fmt"
 	"os"
+	"runtime"
 	"time"
 )
 
@@ -38,6 +39,10 @@
 	"flood":   floodOfEmptyLines,
 }
 
+// init keeps the main goroutine on the main thread: the gateways get SIGKILL when the thread that started them ends, so
+// that none is left behind if this process is killed.
+func init() { runtime.LockOSThread() }
+
 func main() { os.Exit(play()) }
 
 // play runs one case and returns the exit code.
--- a/review/testdata/lab/restart.go
+++ b/review/testdata/lab/restart.go
@@ -44,7 +44,9 @@
 			return
 		}
 	}
-	q.lastByte = time.Now()
+	if q.awaitTaken(conn, time.Second) {
+		rec.printf("%s: the gateway's machine has acknowledged its last byte", q.id)
+	}
 	<-done
 }
 
--- a/review/testdata/lab/upgrade.go
+++ b/review/testdata/lab/upgrade.go
@@ -28,8 +28,9 @@
 			return
 		}
 	}
-	q.lastByte = time.Now()
-	rec.printf("%s: sent whole in %d pieces", q.id, pieces)
+	if q.awaitTaken(conn, time.Second) {
+		rec.printf("%s: sent in %d pieces, the gateway's machine has acknowledged its last byte", q.id, pieces)
+	}
 	<-done
 }
 
