--- a/cmd/thymebend/rig_test.go
+++ b/cmd/thymebend/rig_test.go
@@ -188,11 +188,18 @@
 // launch runs a gateway without waiting for it to be ready. When the test ends, it kills the process and fails the
 // test if the log shows a data race or a panic.
 func launch(t *testing.T, edit map[string]any, knownList string, d *fakeDiscovery) *gatewayProcess {
+	t.Helper()
+	return launchProgram(t, program, edit, knownList, d)
+}
+
+// launchProgram is launch for a given build of the gateway.
+func launchProgram(t *testing.T, path string, edit map[string]any, knownList string, d *fakeDiscovery) *gatewayProcess {
 	t.Helper()
 	cmd, addr := configure(t, knownList, d.ln.Addr().String(), edit)
-	path := strings.TrimPrefix(cmd.Env[len(cmd.Env)-2], "LB_CONFIG=")
+	cmd.Path, cmd.Args[0] = path, path
+	configPath := strings.TrimPrefix(cmd.Env[len(cmd.Env)-2], "LB_CONFIG=")
 	cmd.Env = append(cmd.Env, "LB_DISCOVERY="+d.ln.Addr().String())
-	g := &gatewayProcess{t: t, cmd: cmd, address: addr, configPath: path, log: &logBuffer{}, discovery: d,
+	g := &gatewayProcess{t: t, cmd: cmd, address: addr, configPath: configPath, log: &logBuffer{}, discovery: d,
 		done: make(chan error, 1)}
 	cmd.Stderr = g.log
 	if err := cmd.Start(); err != nil {
