Give the buffers of all connections one budget of memory

Cause: each connection had a limit of its own (80 KiB ahead, 64 KiB of a body, a decoded piece, an unwritten rest), and nothing limited their sum; 646 clients at 1,024 descriptors times 64 KiB is more than 32 MB. The soft limit of the garbage collector can't help against live memory. Change: internal/buffermemory accounts for what connections and requests hold. A connection may hold an eighth of what is free, and 4 KiB always; reads are as large as that. If the budget (a fifth of the limit) is used up, incomplete requests are rejected, those whose clients have stopped first. Responses are passed on as they arrive. One scratch buffer serves all streamed bodies, a head is one string, and a buffered body grows no further than its length. /ops/stats shows memory and connections, a warning tells that requests are rejected for want of memory.

--- a/cmd/thymebend/adminclient.go
+++ b/cmd/thymebend/adminclient.go
@@ -37,7 +37,7 @@
 	for {
 		n, err := c.Read(buf)
 		r.Feed(buf[:n])
-		head, piece, done, fault := r.ReadStream()
+		head, piece, done, fault := r.ReadStream(nil)
 		switch body = append(body, piece...); {
 		case fault != nil:
 			return nil, fault
--- a/internal/admin/stats.go
+++ b/internal/admin/stats.go
@@ -20,6 +20,10 @@
 	Retries uint64 `json:"retries"`
 	// Upstream describes the use of connections to endpoints.
 	Upstream Upstream `json:"upstream"`
+	// Memory describes the memory for the buffers of connections.
+	Memory Memory `json:"memory"`
+	// Connections counts the open connections.
+	Connections Connections `json:"connections"`
 	// Violations counts, by invariant, the effects that were suppressed because they would have broken the invariant.
 	Violations map[string]uint64 `json:"violations"`
 }
@@ -34,6 +38,21 @@
 	UnsolicitedMaxMS int64 `json:"unsolicited_max_ms"`
 }
 
+// Memory describes the memory that connections use for received and unwritten bytes. A connection may use a small part of
+// its own beyond the limit.
+type Memory struct {
+	LimitBytes int `json:"limit_bytes"`
+	UsedBytes  int `json:"used_bytes"`
+	PeakBytes  int `json:"peak_bytes"` // the most that was used since the start of the process
+}
+
+// Connections counts the open connections.
+type Connections struct {
+	Downstream int `json:"downstream"`
+	Upstream   int `json:"upstream"`
+	Relays     int `json:"relays"` // large responses that are being passed to clients
+}
+
 // Encode returns the HTTP response with the statistics as JSON.
 func (s Stats) Encode() []byte { return jsonResponse(s) }
 
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -43,6 +43,7 @@
 	Conn         loop.Conn
 	Addr         netip.AddrPort
 	reader       http1.Reader
+	scratch      []byte        // memory for decoded bytes, used by Feed
 	pending      []byte        // received bytes of the incomplete object
 	scanned      int           // bytes of pending that scan has processed
 	depth        int           // brackets open after the scanned bytes; 0 between two objects
@@ -82,7 +83,8 @@
 		}
 	}()
 	w.reader.Feed(data)
-	head, piece, done, fault := w.reader.ReadStream()
+	head, piece, done, fault := w.reader.ReadStream(w.scratch)
+	w.scratch = piece
 	if fault != nil {
 		err = fault // the lines received before the fault are still processed
 	}
--- a/internal/downstream/arrivals.go
+++ b/internal/downstream/arrivals.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"thymebend/internal/loop"
 )
 
 // The client timeout of a request starts when its client has sent the last byte of the request. The gateway may read
@@ -54,16 +52,22 @@
 	a.backlog.lastShortRead = 0 // the read that may follow within markInterval comes only after the pause
 }
 
-// add records that n bytes were read now. A read that did not fill its buffer is taken to have emptied the kernel's
-// buffer, unless another read follows within markInterval: a system call may return less than is available.
-func (a *arrivals) add(now time.Duration, n int) {
+// markSize is the memory of a mark, in bytes.
+const markSize = 16
+
+// held returns the memory of the marks, in bytes.
+func (a *arrivals) held() int { return markSize * cap(a.marks) }
+
+// add records that n bytes were read now, of at most limit. A read that did not fill its buffer is taken to have emptied
+// the kernel's buffer, unless another read follows within markInterval: a system call may return less than is available.
+func (a *arrivals) add(now time.Duration, n, limit int) {
 	at := now
 	if !a.backlog.pending(now) {
 		a.backlog = backlog{}
 	}
 	if a.backlog.active {
 		at = a.backlog.since
-		a.backlog.consume(now, n)
+		a.backlog.consume(now, n, limit)
 	}
 	a.bytesReceived += int64(n)
 	if last := len(a.marks) - 1; last >= 0 && at-a.marks[last].at < markInterval {
@@ -93,10 +97,10 @@
 	return b.active && (b.lastShortRead == 0 || now-b.lastShortRead < markInterval)
 }
 
-// consume records that n of the unread bytes were read now.
-func (b *backlog) consume(now time.Duration, n int) {
+// consume records that n of the unread bytes were read now, in a read of at most limit bytes.
+func (b *backlog) consume(now time.Duration, n, limit int) {
 	b.lastShortRead = 0
-	if n < loop.ReadSize {
+	if n < limit {
 		b.lastShortRead = now
 	}
 	if b.bytesSinceNext += n; b.bytesSinceNext >= maxUnread {
--- a/internal/downstream/arrivals_test.go
+++ b/internal/downstream/arrivals_test.go
@@ -32,17 +32,17 @@
 // Bytes read after a pause count as sent when the pause began, until the kernel's receive buffer is empty.
 func TestSendTimeOfBytesReadAfterPause(t *testing.T) {
 	var a arrivals
-	a.add(ms(10), 100)
+	a.add(ms(10), 100, loop.ReadSize)
 	a.pause(ms(20))
 	a.pause(ms(25))
-	a.add(ms(500), loop.ReadSize)
-	a.add(ms(501), 1000) // a short read: more bytes may be waiting, and another read follows within markInterval
-	a.add(ms(503), 1000)
+	a.add(ms(500), loop.ReadSize, loop.ReadSize)
+	a.add(ms(501), 1000, loop.ReadSize) // a short read: more bytes may be waiting, and another read follows within markInterval
+	a.add(ms(503), 1000, loop.ReadSize)
 	at := func(offset int64) time.Duration { b := a; return b.sentAt(offset) }
 	if got := at(a.bytesReceived); got != ms(20) {
 		t.Errorf("sent at %v, want 20ms, when reading was paused", got)
 	}
-	a.add(ms(600), 10)
+	a.add(ms(600), 10, loop.ReadSize)
 	if got := at(a.bytesReceived); got != ms(600) {
 		t.Errorf("sent at %v, want 600ms, when they were read: the receive buffer was empty before", got)
 	}
@@ -57,7 +57,7 @@
 	var a arrivals
 	a.pause(ms(0))
 	for i := range 3 * maxUnread / loop.ReadSize {
-		a.add(ms(1000+100*i), loop.ReadSize)
+		a.add(ms(1000+100*i), loop.ReadSize, loop.ReadSize)
 	}
 	if got := a.sentAt(a.bytesReceived); got < ms(1000) {
 		t.Errorf("sent at %v, want 1s or later: three full receive buffers were read after the pause", got)
@@ -69,7 +69,7 @@
 func TestMarksAreBounded(t *testing.T) {
 	var a arrivals
 	for i := range 10_000 {
-		a.add(ms(10*i), 1)
+		a.add(ms(10*i), 1, loop.ReadSize)
 	}
 	if len(a.marks) > maxMarks {
 		t.Errorf("%d marks, want at most %d", len(a.marks), maxMarks)
@@ -103,7 +103,7 @@
 	var body bytes.Buffer
 	for _, part := range [][]byte{raw[100<<10 : 200<<10], raw[200<<10:]} {
 		conn.Feed(ms(700), part)
-		piece, _, _ := conn.ReadStream()
+		piece, _, _ := conn.ReadStream(nil)
 		body.Write(piece)
 	}
 	if got := conn.LastByteSent(); got != ms(500) {
@@ -115,9 +115,9 @@
 func TestPauseAfterAShortReadKeepsTheTimeOfSending(t *testing.T) {
 	var a arrivals
 	a.pause(ms(100))
-	a.add(ms(500), 1000)
+	a.add(ms(500), 1000, loop.ReadSize)
 	a.pause(ms(501))
-	a.add(ms(520), 1000)
+	a.add(ms(520), 1000, loop.ReadSize)
 	if got := a.sentAt(a.bytesReceived); got != ms(100) {
 		t.Errorf("sent at %v, want 100ms, when reading was paused first", got)
 	}
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"thymebend/internal/balancer"
+	"thymebend/internal/buffermemory"
 	"thymebend/internal/http1"
 	"thymebend/internal/loop"
 )
@@ -91,6 +92,15 @@
 	previous      *Conn
 	next          *Conn
 
+	// Unwritten is the size of what was written and may still wait for the kernel, in bytes.
+	Unwritten int
+	// Memory is the memory that the connection is charged for.
+	Memory buffermemory.Account
+	// readLimit is the largest number of bytes that the last read could return.
+	readLimit int
+	// allowance is the memory that the connection may use for received bytes, in bytes.
+	allowance int
+
 	arrivals arrivals
 	unread   unread
 	reader   http1.Reader
@@ -100,7 +110,7 @@
 // Feed adds bytes received from the client now. They are copied.
 func (c *Conn) Feed(now time.Duration, data []byte) {
 	c.lastReceived = now
-	c.arrivals.add(now, len(data))
+	c.arrivals.add(now, len(data), c.readLimit)
 	c.reader.Feed(data)
 }
 
@@ -112,9 +122,9 @@
 }
 
 // ReadStream returns the data of a streamed body that has arrived since the last call, and whether the body has ended.
-// The data is valid until the next call.
-func (c *Conn) ReadStream() (piece []byte, done bool, fault *http1.Fault) {
-	_, piece, done, fault = c.reader.ReadStream()
+// The data is appended to scratch[:0].
+func (c *Conn) ReadStream(scratch []byte) (piece []byte, done bool, fault *http1.Fault) {
+	_, piece, done, fault = c.reader.ReadStream(scratch)
 	return piece, done, fault
 }
 
@@ -124,8 +134,30 @@
 // Pending reports whether part of a request has been received.
 func (c *Conn) Pending() bool { return c.reader.Pending() }
 
-// PipelineFull reports whether the client has sent more than MaxPipelined bytes ahead of a response.
-func (c *Conn) PipelineFull() bool { return c.reader.Buffered() > MaxPipelined }
+// PipelineFull reports whether the client has sent more bytes ahead of a response than the connection may hold.
+func (c *Conn) PipelineFull() bool { return c.reader.Buffered() > min(MaxPipelined, c.allowance) }
+
+// SetAllowance sets the memory that the connection may use for received bytes, in bytes, until the next call.
+func (c *Conn) SetAllowance(bytes int) { c.allowance = bytes }
+
+// BeginRead returns the number of bytes that the next read of the connection may return.
+func (c *Conn) BeginRead() int {
+	c.readLimit = loop.ReadSize
+	if !c.DiscardBody && !c.WriteClosed { // otherwise the bytes are not kept
+		c.readLimit = min(c.allowance, loop.ReadSize)
+	}
+	return c.readLimit
+}
+
+// Held returns the memory that the connection uses for received and unwritten bytes, in bytes.
+func (c *Conn) Held() int { return c.reader.Held() + c.arrivals.held() + c.Unwritten }
+
+// DiscardReceived gives up what was received of an incomplete request that is answered now. The rest of it is discarded
+// as it arrives.
+func (c *Conn) DiscardReceived() {
+	c.reader.Discard()
+	c.large, c.DiscardBody, c.Closing = nil, true, true
+}
 
 // AwaitsContinue reports whether the client waits for 100 Continue before it sends the body. It returns true at most
 // once for each request.
--- a/internal/downstream/conns.go
+++ b/internal/downstream/conns.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"thymebend/internal/buffermemory"
 	"thymebend/internal/loop"
 )
 
@@ -40,7 +41,8 @@
 
 // Add adds a connection that was accepted now.
 func (s *Conns) Add(id loop.Conn, now time.Duration) *Conn {
-	c := &Conn{ID: id, AcceptedAt: now, IdleSince: now, RequestStart: now, lastReceived: now}
+	c := &Conn{ID: id, AcceptedAt: now, IdleSince: now, RequestStart: now, lastReceived: now,
+		readLimit: loop.ReadSize, allowance: MaxPipelined}
 	s.ByConn[id] = c
 	s.Requeue(c)
 	return c
@@ -121,6 +123,20 @@
 	return nil
 }
 
+// StalledHolder returns a connection with an incomplete request that uses more memory than each may, and on which nothing
+// was received for StalledRequestGrace, or nil. It is the one of which nothing was received for longest, with those that
+// send their first request preceding the others.
+func (s *Conns) StalledHolder(now time.Duration) *Conn {
+	for _, queue := range [...]*evictionQueue{&s.partialFirst, &s.partialLater} {
+		for c := queue.head; c != nil && now-c.lastReceived >= StalledRequestGrace; c = c.next {
+			if c.Held() > buffermemory.MinAllowance {
+				return c
+			}
+		}
+	}
+	return nil
+}
+
 // WriteClosed returns a connection on which the gateway has ended its sending after the last response, FirstByteGrace
 // ago or earlier, so that the client has had time to read the response. It returns nil if there is none.
 func (s *Conns) WriteClosed(now time.Duration) *Conn {
--- a/internal/downstream/readtimeout.go
+++ b/internal/downstream/readtimeout.go
@@ -1,6 +1,10 @@
 package downstream
 
-import "time"
+import (
+	"time"
+
+	"thymebend/internal/buffermemory"
+)
 
 // How long the gateway waits for an incomplete request. A client that stops in the middle of a request and stays
 // connected must receive an error or a close within ErrorDeadline. A slow client must be allowed to take 2 s for the
@@ -31,7 +35,7 @@
 	switch {
 	case c.Upload:
 		return max(plain, c.lastReceived+StreamReadTimeout)
-	case !c.reader.HeadRead():
+	case c.reader.Head() == nil:
 		return plain
 	}
 	rateDeadline := plain + time.Duration(c.RequestBytes)*time.Second/MinBodyRate
@@ -48,6 +52,11 @@
 	return !c.Busy && !c.WriteClosed && c.Pending()
 }
 
+// HoldsIncomplete reports whether the connection uses more memory for an incomplete request than each may.
+func (c *Conn) HoldsIncomplete() bool {
+	return !c.Upload && c.Incomplete() && c.Held() > buffermemory.MinAllowance
+}
+
 // LastReceived returns when the last byte was received, or when reading resumed after a pause.
 func (c *Conn) LastReceived() time.Duration { return c.lastReceived }
 
--- a/internal/gateway/admin.go
+++ b/internal/gateway/admin.go
@@ -14,12 +14,15 @@
 // adminEndpoint answers the operators' requests under /ops.
 type adminEndpoint struct {
 	*core
-	cluster   *cluster
-	discovery *discoveryWatch
-	listener  *listener
-	requests  *requestTable
-	restart   *hotRestart
-	shutdown  *shutdown
+	attempts   *attemptTable
+	cluster    *cluster
+	discovery  *discoveryWatch
+	downstream *downstreamConns
+	listener   *listener
+	relays     *relayTable
+	requests   *requestTable
+	restart    *hotRestart
+	shutdown   *shutdown
 
 	conns admin.Conns
 }
@@ -44,6 +47,12 @@
 			Waited:           a.stats.upstream.waited,
 			UnsolicitedMaxMS: a.stats.upstream.latest.Milliseconds(),
 		},
+		Memory: admin.Memory{LimitBytes: a.buffers.Limit(), UsedBytes: a.buffers.Used(), PeakBytes: a.buffers.Peak()},
+		Connections: admin.Connections{
+			Downstream: len(a.downstream.conns.ByConn),
+			Upstream:   a.attempts.pool.Len(),
+			Relays:     a.relays.open,
+		},
 		Violations: a.invariants.Counts(),
 	}
 	for end, count := range a.stats.ends {
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -213,11 +213,17 @@
 		a.noteProgress(att, false)
 		a.uploads.beginWrite(att)
 		head := upstream.AppendHead(nil, req.Message, req.upload.length, a.requests.timeLeft(req))
-		a.emit(loop.Effect{Op: op, Conn: att.conn.ID, Data: head})
+		a.writeUpstream(att.conn, op, head)
 		return
 	}
-	data := upstream.AppendRequest(nil, att.request.Message, att.deadline-a.now)
-	a.emit(loop.Effect{Op: op, Conn: att.conn.ID, Data: data})
+	a.writeUpstream(att.conn, op, upstream.AppendRequest(nil, att.request.Message, att.deadline-a.now))
+}
+
+// writeUpstream writes to an endpoint.
+func (a *attemptTable) writeUpstream(conn *upstream.Conn, op loop.Op, data []byte) {
+	conn.Unwritten += len(data)
+	a.settleUpstream(conn)
+	a.emit(loop.Effect{Op: op, Conn: conn.ID, Data: data})
 }
 
 // unbind detaches the connection from an attempt.
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"thymebend/internal/balancer"
+	"thymebend/internal/buffermemory"
 	"thymebend/internal/config"
 	"thymebend/internal/http1"
 	"thymebend/internal/invariant"
@@ -23,9 +24,13 @@
 	turn           uint64 // number of the current turn of the loop
 	dispatchNeeded bool   // the balancer was notified of something since its last Dispatch
 	invariants     invariant.Checker
+	buffers        buffermemory.Budget
+	scratch        []byte // memory for one decoded piece in this Step; nil once it is used
+	scratchNext    []byte // the same for the next Step
 	stats          statistics
 
 	unsolicitedLogged time.Duration // when logUnsolicited last logged a warning; 0 before the first
+	shedLogged        time.Duration // when logShed last logged a warning; 0 before the first
 }
 
 // pauseListener stops accepting on the admin or hot-restart socket for acceptPauseDuration. This keeps the loop
--- a/internal/gateway/downstream.go
+++ b/internal/gateway/downstream.go
@@ -51,12 +51,14 @@
 			d.uploads.readable(conn)
 			return
 		}
-		d.emit(loop.Effect{Op: loop.Read, Conn: conn.ID})
+		d.readable(conn)
 	case loop.Data:
 		if !d.handleData(conn, e.Data) {
 			return
 		}
 		d.uploads.clientPresent(conn)
+		d.settleClient(conn)
+		d.relieve(conn)
 	case loop.WouldBlock:
 		if conn.FinalRead && !conn.Busy && !conn.Pending() {
 			d.drop(conn, ReasonIdleClosed)
@@ -77,11 +79,32 @@
 		d.writeChecked(conn, e.Queues.Undelivered)
 	}
 	if d.conns.ByConn[conn.ID] == conn {
-		d.conns.Requeue(conn)
-		d.checkDeadline(conn)
+		d.settled(conn)
 	}
 }
 
+// settled completes the handling of an event on a connection that is still open.
+func (d *downstreamConns) settled(conn *downstream.Conn) {
+	d.settleClient(conn)
+	d.conns.Requeue(conn)
+	d.checkDeadline(conn)
+}
+
+// readable reads from a connection, unless it holds as much as it may while its request is in progress.
+func (d *downstreamConns) readable(conn *downstream.Conn) {
+	if conn.Busy && !conn.ReadingPaused && conn.PipelineFull() {
+		d.pauseReading(conn)
+		return
+	}
+	d.read(conn)
+}
+
+// read reads from a connection, as much as it may hold.
+func (d *downstreamConns) read(conn *downstream.Conn) {
+	d.settleClient(conn)
+	d.emit(loop.Effect{Op: loop.Read, Conn: conn.ID, Bytes: int64(conn.BeginRead())})
+}
+
 // handleData processes data from a client. It returns true if the data belong to requests that are read
 // completely before they are forwarded. For parts of an uploaded body and for discarded data it returns false:
 // the connection's position in the eviction order and its deadline then stay unchanged.
@@ -130,6 +153,7 @@
 func (d *downstreamConns) release(conn *downstream.Conn) {
 	d.clearDeadline(conn)
 	d.conns.Remove(conn)
+	d.buffers.Charge(&conn.Memory, 0)
 }
 
 // limit sets the maximum number of connections, and the number above which idle connections are closed early.
@@ -169,6 +193,7 @@
 // flushed is called when an answer has been written out. It continues with the next request or closes the
 // connection.
 func (d *downstreamConns) flushed(conn *downstream.Conn) {
+	conn.Unwritten = 0
 	if r := d.relays.byConn[conn.ID]; r != nil {
 		d.relays.flushed(r)
 		return
@@ -213,7 +238,7 @@
 func (d *downstreamConns) readThenClose(conn *downstream.Conn) {
 	conn.FinalRead = true
 	d.conns.Requeue(conn)
-	d.emit(loop.Effect{Op: loop.Read, Conn: conn.ID})
+	d.read(conn)
 }
 
 // drop closes a connection. A request that is waiting for its answer on it is abandoned together with its
@@ -223,6 +248,7 @@
 	d.checkClose(conn, end)
 	d.clearDeadline(conn)
 	d.conns.Remove(conn)
+	d.buffers.Charge(&conn.Memory, 0)
 	if r := d.relays.byConn[conn.ID]; r != nil {
 		// Part of the answer has been sent. Aborting the connection keeps the client from taking it for complete.
 		d.relays.remove(r, resultFailed)
--- a/internal/gateway/downstream_request.go
+++ b/internal/gateway/downstream_request.go
@@ -45,7 +45,7 @@
 		d.setDeadline(conn, d.requestDeadline(conn))
 	}
 	if conn.AwaitsContinue() {
-		d.write(conn.ID, downstream.ContinueResponse())
+		d.writeClient(conn, downstream.ContinueResponse())
 	}
 }
 
@@ -151,6 +151,13 @@
 func (d *downstreamConns) writeFinal(conn *downstream.Conn, data []byte) {
 	conn.RequestID = 0
 	d.beginWrite(conn)
+	d.writeClient(conn, data)
+	d.settleClient(conn)
+}
+
+// writeClient writes to a client.
+func (d *downstreamConns) writeClient(conn *downstream.Conn, data []byte) {
+	conn.Unwritten += len(data)
 	d.write(conn.ID, data)
 }
 
--- a/internal/gateway/downstream_timeouts.go
+++ b/internal/gateway/downstream_timeouts.go
@@ -14,8 +14,7 @@
 		conn.TimerAt = 0
 		defer func() {
 			if d.conns.ByConn[c] == conn {
-				d.conns.Requeue(conn)
-				d.checkDeadline(conn)
+				d.settled(conn)
 			}
 		}()
 	}
--- a/internal/gateway/downstream_turns.go
+++ b/internal/gateway/downstream_turns.go
@@ -20,8 +20,7 @@
 		if conn := d.conns.ByConn[id]; conn != nil {
 			d.flushed(conn)
 			if d.conns.ByConn[id] == conn {
-				d.conns.Requeue(conn)
-				d.checkDeadline(conn)
+				d.settled(conn)
 			}
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,8 +96,8 @@
 // uses: those for configuration, discovery, cluster, hot restart and shutdown.
 func (g *Gateway) connectControl() {
 	*g.admin = adminEndpoint{
-		core: g.core, cluster: g.cluster, discovery: g.discovery, listener: g.listener, requests: g.requests,
-		restart: g.restart, shutdown: g.shutdown,
+		core: g.core, attempts: g.attempts, cluster: g.cluster, discovery: g.discovery, downstream: g.downstream,
+		listener: g.listener, relays: g.relays, requests: g.requests, restart: g.restart, shutdown: g.shutdown,
 	}
 	*g.assignment = subsetAssignment{core: g.core, cluster: g.cluster, discovery: g.discovery, restart: g.restart}
 	*g.cluster = cluster{core: g.core, assignment: g.assignment, shutdown: g.shutdown}
@@ -125,6 +125,9 @@
 // Notifications that arise within an action of the balancer are delivered to it at the end of the Step.
 func (g *Gateway) Step(now time.Duration, e loop.Event) []loop.Effect {
 	g.now, g.effects = now, g.effects[:0]
+	if g.scratchNext != nil {
+		g.scratch, g.scratchNext = g.scratchNext, nil
+	}
 	switch e.Kind {
 	case loop.Start:
 		g.start()
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -42,10 +42,12 @@
 	if !h.isOnlyProcess() {
 		h.closeSurplus()
 	}
-	heap := h.cfg.Limits.MemoryMB * heapShare * (1 << 20)
+	memory := h.cfg.Limits.MemoryMB * (1 << 20)
 	if !h.isOnlyProcess() {
-		heap /= 2
+		memory /= 2
 	}
+	h.buffers.SetLimit(int(memory * bufferShare))
+	heap := memory * heapShare
 	if int64(heap) != h.heapBytes {
 		h.heapBytes = int64(heap)
 		h.emit(loop.Effect{Op: loop.SetMemoryLimit, Bytes: h.heapBytes})
--- a/internal/gateway/logfields.go
+++ b/internal/gateway/logfields.go
@@ -26,9 +26,11 @@
 	fieldEndpoint          = "endpoint"
 	fieldFrom              = "from"
 	fieldHandedOver        = "handed_over"
-	fieldID                = "id" // the client's id of a request
+	fieldHeld              = "held" // memory that a connection uses for buffers, in bytes
+	fieldID                = "id"   // the client's id of a request
 	fieldKnown             = "known"
 	fieldLength            = "length"
+	fieldLimit             = "limit" // of the memory for buffers, in bytes
 	fieldListen            = "listen"
 	fieldLocalHealth       = "local_health"
 	fieldMajority          = "majority"
@@ -50,5 +52,6 @@
 	fieldTimeLeft          = "time_left"     // time remaining until the client's or the attempt's deadline
 	fieldUpstreamConn      = "upstream_conn" // number of a connection
 	fieldUpstreamPaused    = "upstream_paused"
+	fieldUsed              = "used" // memory for buffers in use, in bytes
 	fieldWaiting           = "waiting"
 )
--- a/internal/gateway/logging.go
+++ b/internal/gateway/logging.go
@@ -46,6 +46,24 @@
 		Msg("request rejected")
 }
 
+// memoryLogInterval is the minimum time between two warnings that the memory for buffers is used up.
+const memoryLogInterval = time.Second
+
+// logShed counts and logs an incomplete request that is rejected because the memory for buffers is used up: as a warning
+// at most once per memoryLogInterval, otherwise at level debug.
+func (c *core) logShed(conn *downstream.Conn) {
+	c.stats.rejections[rejectedNoMemory]++
+	line := c.log.Debug()
+	if c.shedLogged == 0 || c.now-c.shedLogged >= memoryLogInterval {
+		c.shedLogged = c.now
+		line = c.log.Warn()
+	}
+	line.Uint64(fieldDownstreamConn, uint64(conn.ID)).Int(fieldBytes, conn.RequestBytes).Int(fieldHeld, conn.Held()).
+		Dur(fieldSilent, conn.IdleFor(c.now)).Int(fieldUsed, c.buffers.Used()).Int(fieldLimit, c.buffers.Limit()).
+		Uint64(fieldCount, c.stats.rejections[rejectedNoMemory]).
+		Msg("request rejected before it was complete: the memory for buffers is used up")
+}
+
 // logRequestEnded logs the final outcome of a request.
 func (c *core) logRequestEnded(req *request, r finalResult) {
 	c.log.Debug().Uint32(fieldRequest, uint32(req.id)).Str(fieldID, req.ID).Stringer(fieldOutcome, r).
--- a/internal/gateway/rejections.go
+++ b/internal/gateway/rejections.go
@@ -10,6 +10,7 @@
 	rejectedOverloaded                  // requests occupy nearly all downstream connections
 	rejectedTooLate                     // it could still be in progress at SIGKILL
 	rejectedExpired                     // the client's timeout expired before the request was accepted
+	rejectedNoMemory                    // it was incomplete, and the memory for buffers was used up
 	rejectionReasonCount
 )
 
@@ -26,6 +27,8 @@
 		return "too late in a stop"
 	case rejectedExpired:
 		return "over"
+	case rejectedNoMemory:
+		return "no memory"
 	}
 	return "unknown"
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strings"
 	"time"
 
 	"thymebend/internal/downstream"
@@ -15,6 +16,8 @@
 const (
 	maxRelayBuffer      = 256 << 10
 	maxTotalRelayBuffer = 2 << 20
+	// relayBufferDivisor limits the bytes read ahead to a fraction of the memory for buffers, of which it is the inverse.
+	relayBufferDivisor = 4
 )
 
 // relayReadTimeout is how long an endpoint may send nothing after its response has begun.
@@ -28,6 +31,7 @@
 	requests   *requestTable
 
 	byConn   map[loop.Conn]*relay // by the downstream and by the upstream connection
+	open     int                  // number of relays
 	buffered int                  // bytes of all relays that were read and wait for clients
 }
 
@@ -67,16 +71,17 @@
 		keep, client.Closing = false, true
 	}
 	r := &relay{
-		downstream: client, upstream: conn, id: req.ID, class: req.Class.Name, startedAt: t.now,
+		downstream: client, upstream: conn, id: strings.Clone(req.ID), class: req.Class.Name, startedAt: t.now,
 		length: length, chunked: chunked, reusable: reusable,
 	}
 	t.byConn[client.ID], t.byConn[conn.ID] = r, r
+	t.open++
 	t.attempts.unbind(att)
 	conn.Phase = upstream.Relaying
 	req.done, req.client, client.RequestID = true, 0, 0
 	t.attempts.end(att, ReasonServed, resp)
 	t.requests.release(req)
-	t.write(client.ID, http1.AppendResponseHead(nil, 200, resp.ForwardedFields(), length, req.Message.MinorVersion, keep))
+	t.downstream.writeClient(client, http1.AppendResponseHead(nil, 200, resp.ForwardedFields(), length, req.Message.MinorVersion, keep))
 	r.writing = true
 	t.downstream.beginWrite(client)
 	t.setTimer(timerUpstream, uint64(conn.ID), t.now+relayReadTimeout)
@@ -84,6 +89,7 @@
 
 // handleEvent handles an event on the upstream connection.
 func (t *relayTable) handleEvent(r *relay, e loop.Event) {
+	defer t.settle(r)
 	if r.complete && (e.Kind == loop.EOF || e.Kind == loop.Broken) {
 		r.reusable = false
 		return
@@ -96,7 +102,7 @@
 			t.emit(loop.Effect{Op: loop.PauseReading, Conn: e.Conn})
 			return
 		}
-		t.emit(loop.Effect{Op: loop.Read, Conn: e.Conn})
+		t.emit(loop.Effect{Op: loop.Read, Conn: e.Conn, Bytes: int64(t.readSize())})
 	case loop.Data:
 		r.received += len(e.Data)
 		r.upstream.LastByte = t.now
@@ -122,10 +128,18 @@
 	}
 }
 
+// settle charges the upstream connection of a relay for the memory that it uses now.
+func (t *relayTable) settle(r *relay) {
+	if t.byConn[r.upstream.ID] == r {
+		t.settleUpstream(r.upstream)
+	}
+}
+
 // mayReadAhead reports whether more of a response may be read although its client has not yet taken what was
 // read before.
 func (t *relayTable) mayReadAhead(r *relay) bool {
-	return r.buffered < maxRelayBuffer && t.buffered < maxTotalRelayBuffer
+	return r.buffered < min(maxRelayBuffer, t.buffers.Allowance()) &&
+		t.buffered < min(maxTotalRelayBuffer, t.buffers.Limit()/relayBufferDivisor)
 }
 
 // upstreamEnded closes the upstream side of a response that has been read completely. The remainder is written
@@ -142,7 +156,8 @@
 	if r.writing || r.complete {
 		return
 	}
-	piece, done, err := r.upstream.ReadStream()
+	piece, done, err := r.upstream.ReadStream(t.takeScratch())
+	t.keepScratch(piece)
 	t.releaseBuffer(r)
 	if err != nil {
 		t.log.Debug().Err(err).Msg("response of an endpoint")
@@ -171,13 +186,15 @@
 	}
 	r.writing = true
 	t.downstream.beginWrite(r.downstream)
-	t.write(r.downstream.ID, data)
+	t.downstream.writeClient(r.downstream, data)
+	t.settleClient(r.downstream)
 }
 
 // flushed continues after a piece has been written out, or ends the response after the last piece.
 func (t *relayTable) flushed(r *relay) {
 	r.writing = false
 	if !r.complete {
+		defer t.settle(r)
 		if t.pump(r); r.paused && (!r.writing || t.mayReadAhead(r)) && t.byConn[r.upstream.ID] == r {
 			r.paused = false
 			t.emit(loop.Effect{Op: loop.ResumeReading, Conn: r.upstream.ID})
@@ -205,6 +222,7 @@
 func (t *relayTable) remove(r *relay, result finalResult) {
 	delete(t.byConn, r.downstream.ID)
 	delete(t.byConn, r.upstream.ID)
+	t.open--
 	t.releaseBuffer(r)
 	t.requests.relayEnded(r.id, r.class, result)
 }
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"thymebend/internal/balancer"
+	"thymebend/internal/buffermemory"
 	"thymebend/internal/downstream"
 	"thymebend/internal/invariant"
 	"thymebend/internal/loop"
@@ -32,6 +33,7 @@
 	started    int        // number of attempts started
 	running    []*attempt // attempts in progress
 	upload     *upload    // its body if that is too large to be buffered, else nil
+	memory     buffermemory.Account
 	invariants invariant.Request
 }
 
@@ -52,6 +54,7 @@
 	}
 	t.byID[req.id] = req
 	t.openIDs[parsed.ID] = true
+	t.settleRequest(req)
 	return req
 }
 
@@ -86,6 +89,7 @@
 func (t *requestTable) release(req *request) {
 	if req.done && len(req.running) == 0 {
 		delete(t.byID, req.id)
+		t.buffers.Charge(&req.memory, 0)
 	}
 }
 
--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -54,7 +54,7 @@
 		u.downstream.pauseReading(conn)
 		return
 	}
-	u.emit(loop.Effect{Op: loop.Read, Conn: conn.ID})
+	u.downstream.read(conn)
 }
 
 // pump writes the part of a body received so far to the endpoint, unless a write is in progress.
@@ -63,12 +63,14 @@
 	if up.attempt == nil || up.writing || up.complete || conn == nil {
 		return
 	}
-	piece, done, fault := conn.ReadStream()
+	piece, done, fault := conn.ReadStream(u.takeScratch())
+	u.keepScratch(piece)
+	u.settleClient(conn)
 	switch {
 	case fault != nil:
 		u.abort(req, conn, downstream.FaultResponse(fault, false))
 	case done:
-		u.holdLast(up, conn, piece)
+		u.holdLast(req, conn, piece)
 	case len(piece) == 0:
 		u.downstream.resumeReading(conn)
 	default:
@@ -80,26 +82,30 @@
 // holdLast keeps the last piece until one more read shows whether the client has closed its connection: the end of its
 // sending may stand behind all of the body, and an endpoint must not get the whole request of a client that has left.
 // The result of the read arrives in the same turn of the loop.
-func (u *uploads) holdLast(up *upload, conn *downstream.Conn, piece []byte) {
+func (u *uploads) holdLast(req *request, conn *downstream.Conn, piece []byte) {
+	up := req.upload
 	up.complete, up.completedAt, conn.Upload = true, conn.LastByteSent(), false
 	up.lastHeld, up.lastPiece = true, bytes.Clone(piece)
+	u.settleRequest(req)
 	u.downstream.clearDeadline(conn)
 	u.downstream.resumeReading(conn)
-	u.emit(loop.Effect{Op: loop.Read, Conn: conn.ID})
+	u.downstream.read(conn)
 }
 
 // clientPresent continues an upload whose last piece is held, once a read has shown that its client is still there.
 func (u *uploads) clientPresent(conn *downstream.Conn) {
 	if req := u.requests.byID[conn.RequestID]; req != nil && req.upload != nil && req.upload.lastHeld &&
 		req.upload.attempt != nil {
-		u.writeLast(req.upload)
+		u.writeLast(req)
 	}
 }
 
 // writeLast writes the last piece.
-func (u *uploads) writeLast(up *upload) {
+func (u *uploads) writeLast(req *request) {
+	up := req.upload
 	piece := up.lastPiece
 	up.lastHeld, up.lastPiece = false, nil
+	u.settleRequest(req)
 	u.writePiece(up, piece, true)
 }
 
@@ -107,7 +113,7 @@
 func (u *uploads) writePiece(up *upload, piece []byte, last bool) {
 	up.consumed, up.writing = up.consumed || len(piece) > 0, true
 	u.beginWrite(up.attempt)
-	u.write(up.attempt.conn.ID, framePiece(piece, up.length < 0, last))
+	u.attempts.writeUpstream(up.attempt.conn, loop.Write, framePiece(piece, up.length < 0, last))
 }
 
 // beginWrite starts the time in which the endpoint must take some of what is written next, the head or a piece.
@@ -153,7 +159,7 @@
 	up.attempt, up.writing = att, false
 	switch {
 	case up.lastHeld:
-		u.writeLast(up)
+		u.writeLast(att.request)
 	case up.complete:
 		u.written(att)
 	default:
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -16,9 +16,14 @@
 // handleEvent handles an event on an upstream connection. An idle connection has no attempt.
 func (a *attemptTable) handleEvent(conn *upstream.Conn, e loop.Event) {
 	att := a.byConn[conn.ID]
+	defer func() {
+		if a.pool.Find(conn.ID) == conn {
+			a.settleUpstream(conn)
+		}
+	}()
 	switch e.Kind {
 	case loop.Readable:
-		a.emit(loop.Effect{Op: loop.Read, Conn: conn.ID})
+		a.emit(loop.Effect{Op: loop.Read, Conn: conn.ID, Bytes: int64(a.readSize())})
 	case loop.Connected:
 		if att == nil {
 			a.spareConnected(conn)
@@ -27,6 +32,7 @@
 		a.setTimer(timerAttempt, att.id, att.deadline)
 		a.writeRequest(att, loop.WriteIfIdle)
 	case loop.Flushed:
+		conn.Unwritten = 0
 		switch {
 		case att != nil && att.request.upload != nil && conn.Phase == upstream.Writing:
 			a.uploads.flushed(att)
@@ -39,6 +45,7 @@
 			att.request.upload.progress.Observe(a.now, e.Queues.Undelivered)
 		}
 	case loop.Stale:
+		conn.Unwritten = 0
 		a.nothingWritten(conn, att)
 	case loop.Data:
 		a.handleData(conn, att, e.Data)
@@ -88,7 +95,11 @@
 	case resp != nil:
 		a.responded(att, resp)
 	default:
-		if head := conn.Large(); head != nil && premature(conn, head) {
+		head := conn.Large()
+		if head == nil && conn.Held() > a.buffers.Allowance() {
+			head = conn.Partial() // memory is short: the response is passed on as it arrives
+		}
+		if head != nil && premature(conn, head) {
 			a.end(att, ReasonPrematureResponse, nil)
 		} else if head != nil {
 			a.relays.begin(att, head)
@@ -175,6 +186,7 @@
 // keepIdle keeps a connection open for the next request, until shortly before its endpoint would close it.
 func (a *attemptTable) keepIdle(conn *upstream.Conn) {
 	a.pool.Release(conn)
+	a.settleUpstream(conn)
 	a.setTimer(timerUpstream, uint64(conn.ID), a.now+scale(a.cfg.Settings.Gateway.IdleTimeout, idleTimeoutFraction))
 }
 
@@ -184,6 +196,7 @@
 		Msg("upstream connection closed")
 	a.stopTimer(timerUpstream, uint64(conn.ID))
 	a.pool.Remove(conn)
+	a.buffers.Charge(&conn.Memory, 0)
 	delete(a.byConn, conn.ID)
 	a.closeConn(conn.ID)
 }
--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -21,6 +21,7 @@
 type body struct {
 	framing      framing
 	remaining    int64 // bytes of the body or of the current chunk that are not yet decoded
+	maxPiece     int   // largest piece that decode returns, in bytes; 0 for no limit
 	inChunk      bool  // a chunk has begun, and the line end after its data has not been decoded
 	trailerBytes int   // size of the trailers decoded, in bytes; -1 before the last chunk
 	done         bool
@@ -71,6 +72,9 @@
 		return in, len(in), nil
 	case b.framing == byLength || b.inChunk && b.remaining > 0:
 		n := min(int64(len(in)), b.remaining)
+		if b.maxPiece > 0 {
+			n = min(n, int64(b.maxPiece))
+		}
 		b.remaining -= n
 		b.done = b.framing == byLength && b.remaining == 0
 		return in[:n], int(n), nil
--- a/internal/http1/cut_test.go
+++ b/internal/http1/cut_test.go
@@ -22,7 +22,7 @@
 		stream = stream[size:]
 		for {
 			if streamed {
-				_, piece, done, fault := r.ReadStream()
+				_, piece, done, fault := r.ReadStream(nil)
 				body.Write(piece)
 				if fault != nil {
 					return out.String() + fault.Text
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -2,10 +2,7 @@
 // panic nor the buffering of more bytes than the limits. The package does not depend on the gateway.
 package http1
 
-import (
-	"bytes"
-	"strings"
-)
+import "strings"
 
 // Limits of a message, in bytes where not stated otherwise.
 const (
@@ -37,6 +34,7 @@
 	KeepAlive      bool   // the peer keeps the connection open after the message
 	MinorVersion   int    // the minor version: 0 for HTTP/1.0, 1 for HTTP/1.1
 	authority      string // the authority of a target in the absolute form, otherwise empty
+	size           int    // memory of the head, in bytes
 }
 
 // Get returns the value of the last field with the given name and the number of such fields.
@@ -77,28 +75,32 @@
 	return h.hasToken("Connection", name)
 }
 
-// parseHead parses a head without the empty line at its end.
-func parseHead(raw []byte, response bool) (*Head, *Fault) {
-	line, rest, _ := bytes.Cut(raw, []byte("\r\n"))
+// fieldSize is the memory that a parsed header field uses beside its text, in bytes: two strings, and as much unused room
+// in the list.
+const fieldSize = 64
+
+// parseHead parses a head without the empty line at its end. The strings of the head share the memory of raw.
+func parseHead(raw string, response bool) (*Head, *Fault) {
+	line, rest, _ := strings.Cut(raw, "\r\n")
 	h := &Head{}
 	parse := h.parseRequestLine
 	if response {
 		parse = h.parseStatusLine
 	}
-	minor, fault := parse(string(line))
+	minor, fault := parse(line)
 	if fault != nil {
 		return nil, fault
 	}
 	for len(rest) > 0 {
-		line, rest, _ = bytes.Cut(rest, []byte("\r\n"))
+		line, rest, _ = strings.Cut(rest, "\r\n")
 		if len(h.Fields) == maxFields {
 			return nil, &Fault{431, "too many header fields"}
 		}
-		if fault := h.addField(string(line)); fault != nil {
+		if fault := h.addField(line); fault != nil {
 			return nil, fault
 		}
 	}
-	h.MinorVersion = minor
+	h.MinorVersion, h.size = minor, len(raw)+fieldSize*len(h.Fields)
 	h.KeepAlive = minor == 1 && !h.hasToken("Connection", "close") // HTTP/1.0 keep-alive is not supported
 	if _, hosts := h.Get("Host"); !response && (hosts > 1 || hosts == 0 && minor == 1) {
 		return nil, badRequest("a request needs one Host")
--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -5,6 +5,9 @@
 // maxInterimResponses is the maximum number of interim responses (status 1xx) before a final response.
 const maxInterimResponses = 64
 
+// maxBufferKept is the size of an empty buffer that a reader keeps for the next message, in bytes.
+const maxBufferKept = 4 << 10
+
 // maxDecodedKept is how many decoded bytes a reader keeps in its buffer when it receives more, in bytes.
 const maxDecodedKept = 16 << 10
 
@@ -33,6 +36,9 @@
 	Body []byte
 }
 
+// Held returns the memory that the message uses, in bytes.
+func (m *Message) Held() int { return m.size + cap(m.Body) }
+
 // Feed adds received bytes to the buffer. They are copied. Decoded bytes are removed from the buffer only once they are
 // the larger part of it or exceed maxDecodedKept, so that each received byte is moved a limited number of times, however
 // short the messages are.
@@ -78,9 +84,6 @@
 	return r.head
 }
 
-// HeadRead reports whether the head of the current message has been received completely.
-func (r *Reader) HeadRead() bool { return r.head != nil }
-
 // Complete reports whether the current message has been received completely, even if the caller has not
 // yet read all of its body. It also returns true if the body is malformed.
 func (r *Reader) Complete() bool {
@@ -99,9 +102,28 @@
 	return n > 0
 }
 
-// Full reports whether the buffer for decoded data of the body is full.
+// Full reports whether as much of the body is decoded as may be buffered.
 func (r *Reader) Full() bool { return len(r.payload) >= MaxBufferedBody }
 
+// Head returns the head of the current message, or nil if it has not been received completely.
+func (r *Reader) Head() *Head { return r.head }
+
+// Held returns the memory that the reader uses for received bytes, in bytes.
+func (r *Reader) Held() int {
+	held := cap(r.buffer) + cap(r.payload)
+	if r.head != nil {
+		held += r.head.size
+	}
+	return held
+}
+
+// Discard gives up all received bytes. The reader must not be used for further messages, because it is not known where
+// the next one begins.
+func (r *Reader) Discard() {
+	r.reset()
+	r.buffer, r.start, r.scanned = nil, 0, 0
+}
+
 // BeginStream switches the body of the current message to streaming: from now on, the caller reads its data as it
 // arrives. length is the length of the body in bytes, or -1 if it is not stated.
 func (r *Reader) BeginStream() (length int64) {
@@ -113,12 +135,14 @@
 }
 
 // ReadStream returns the head of a streamed message, nil until the head has been received completely; the data of the
-// body that has arrived since the last call; and whether the body has ended. The data is valid until the next call.
-// After the end of a message that was switched to streaming, the reader continues with the next message.
-func (r *Reader) ReadStream() (head *Head, piece []byte, done bool, fault *Fault) {
+// body that has arrived since the last call; and whether the body has ended. The data is appended to scratch[:0], so that
+// many readers can share one scratch buffer. After the end of a message that was switched to streaming, the reader
+// continues with the next message.
+func (r *Reader) ReadStream(scratch []byte) (head *Head, piece []byte, done bool, fault *Fault) {
+	r.payload = append(scratch[:0], r.payload...)
 	fault = r.advance()
 	head, piece, done = r.head, r.payload, fault == nil && r.head != nil && r.body.done
-	if r.payload = r.payload[:0]; done && r.streamed {
+	if r.payload = nil; done && r.streamed {
 		r.reset()
 	}
 	return head, piece, done, fault
@@ -173,10 +197,14 @@
 	}
 	consumed, streamed := 0, r.Stream || r.streamed
 	for streamed || len(r.payload) <= MaxBufferedBody { // the rest of a large body stays undecoded until it is streamed
+		if r.body.maxPiece = 0; !streamed {
+			r.body.maxPiece = MaxBufferedBody + 1 - len(r.payload)
+		}
 		piece, n, fault := r.body.decode(r.undecoded()[consumed:])
 		if fault != nil {
 			return fault
 		}
+		r.growPayload(len(piece), streamed)
 		r.payload = append(r.payload, piece...)
 		if r.decodedBytes += int64(len(piece)); !r.Stream && r.decodedBytes > MaxBody {
 			return &Fault{413, "body too large"}
@@ -189,6 +217,22 @@
 	return nil
 }
 
+// growPayload makes room for the next piece of a body. A buffered body grows no further than to its known or largest
+// length, so that it uses no more memory than its bytes.
+func (r *Reader) growPayload(n int, streamed bool) {
+	need := len(r.payload) + n
+	if streamed || need <= cap(r.payload) {
+		return
+	}
+	longest := MaxBufferedBody + 1
+	if r.body.framing == byLength {
+		longest = int(min(r.decodedBytes+int64(n)+r.body.remaining, MaxBufferedBody+1))
+	}
+	grown := make([]byte, len(r.payload), max(need, min(2*need, longest)))
+	copy(grown, r.payload)
+	r.payload = grown
+}
+
 // readHead parses the head of the next message once it has been received completely.
 func (r *Reader) readHead() *Fault {
 	if fault := r.skipEmptyLines(); fault != nil {
@@ -206,7 +250,7 @@
 	if headEnd > MaxHead {
 		return &Fault{431, "head too large"}
 	}
-	head, fault := parseHead(received[:headEnd], r.Response)
+	head, fault := parseHead(string(received[:headEnd]), r.Response)
 	if fault != nil {
 		return fault
 	}
@@ -235,13 +279,13 @@
 	return nil
 }
 
-// consume records that the next n bytes are decoded. It releases an emptied buffer that has grown for a large message.
+// consume records that the next n bytes are decoded. It releases an emptied buffer of more than maxBufferKept bytes.
 func (r *Reader) consume(n int) {
 	if r.start += n; r.start < len(r.buffer) {
 		return
 	}
 	r.buffer, r.start = r.buffer[:0], 0
-	if cap(r.buffer) > MaxHead && !r.streamed {
+	if cap(r.buffer) > maxBufferKept {
 		r.buffer = nil
 	}
 }
--- a/internal/lab/simulation/effects.go
+++ b/internal/lab/simulation/effects.go
@@ -57,7 +57,7 @@
 		l.pass(s, f)
 	case loop.SendTo: // not a datagram socket: nothing is sent
 	case loop.Read:
-		l.read(s)
+		l.read(s, int(f.Bytes))
 	case loop.Write:
 		l.write(s, f.Data)
 	case loop.WriteIfIdle:
--- a/internal/lab/simulation/loopsockets.go
+++ b/internal/lab/simulation/loopsockets.go
@@ -164,13 +164,13 @@
 	l.queueEvent(loop.Event{Kind: loop.Broken, Conn: s.conn, Err: err})
 }
 
-func (l *Loop) read(s *socket) {
+func (l *Loop) read(s *socket, limit int) {
 	e := s.end
 	switch {
 	case len(e.inbox) > 0:
-		limit := readSize
+		limit = cmp.Or(min(limit, readSize), readSize)
 		if l.sim.Chance(l.PartialReadChance) {
-			limit = 1 + l.sim.Rand.IntN(len(e.inbox))
+			limit = min(limit, 1+l.sim.Rand.IntN(len(e.inbox)))
 		}
 		data := append([]byte(nil), e.Read(limit)...)
 		l.queueEvent(loop.Event{Kind: loop.Data, Conn: s.conn, Data: data, PassedConns: l.adoptPassed(e)})
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -357,7 +357,7 @@
 	case Accept:
 		l.accept(s, f.MaxAccepts)
 	case Read:
-		l.read(s)
+		l.read(s, int(f.Bytes))
 	case Write:
 		l.write(s, f.Data)
 	case WriteIfIdle:
--- a/internal/loop/sockets.go
+++ b/internal/loop/sockets.go
@@ -164,17 +164,17 @@
 	l.queueEvent(Event{Kind: Connected, Conn: s.conn})
 }
 
-// read reads at most one buffer and queues the data. Data beyond it is reported by the next Readable event; on an
+// read reads at most limit bytes, or one buffer if limit is 0, and queues the data. Data beyond it is reported by the next Readable event; on an
 // urgent socket that event follows in the same turn, so that a long list of discovery is delivered whole before
 // requests are dispatched. If the shared buffer holds data that is not yet delivered, read allocates a new one.
-func (l *Loop) read(s *socket) {
+func (l *Loop) read(s *socket, limit int) {
 	if s.isDatagram {
 		l.readDatagrams(s)
 		return
 	}
-	buf := l.buffer
+	buf := l.buffer[:cmp.Or(min(limit, ReadSize), ReadSize)]
 	if l.bufferInUse {
-		buf = make([]byte, ReadSize)
+		buf = make([]byte, len(buf))
 	}
 	n, passed, err := 0, []int(nil), error(nil)
 	if s.isUnix {
--- a/internal/loop/types.go
+++ b/internal/loop/types.go
@@ -104,7 +104,7 @@
 	PassSockets              // writes Data on a Unix socket with passed sockets and closes these here, except Listener
 	AdoptListener            // makes the passed socket Conn a listener with the number AdoptAs: Listening or Broken
 	SetMemoryLimit           // sets the soft memory limit of the Go runtime to Bytes
-	Read                     // reads at most one buffer: Data, EOF, Broken, or WouldBlock if nothing is waiting
+	Read                     // reads at most Bytes, ReadSize if that is 0: Data, EOF, Broken, or WouldBlock if nothing is waiting
 	Write                    // writes Data, at once or when the kernel has room: Flushed or Broken
 	WriteIfIdle              // writes Data unless the peer has sent data or closed: Flushed, Broken or Stale
 	Shutdown                 // ends this side's sending; the peer may continue to send
@@ -134,7 +134,7 @@
 	MaxAccepts     int    // maximum number of connections that one Accept accepts; 0 for the loop's limit
 	PassConns      []Conn // the sockets to pass to the other process
 	AdoptAs        Conn   // the number of a passed socket as a listening socket of this process
-	Bytes          int64
+	Bytes          int64  // with Read, the largest number of bytes to read; with SetMemoryLimit, the limit
 	Timer          Timer
 	At             time.Duration // on the loop's Clock
 	ExitError      error         // the error that Run returns after Exit; nil for a regular end
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"thymebend/internal/balancer"
+	"thymebend/internal/buffermemory"
 	"thymebend/internal/http1"
 	"thymebend/internal/loop"
 )
@@ -29,8 +30,12 @@
 	Phase    Phase
 	Requests int           // requests that were written on this connection, including the current one
 	LastByte time.Duration // when the last byte of the endpoint arrived; 0 before the first
-	spare    bool          // opened for later attempts
-	reader   http1.Reader
+	// Unwritten is the size of what was written and may still wait for the kernel, in bytes.
+	Unwritten int
+	// Memory is the memory that the connection is charged for.
+	Memory buffermemory.Account
+	spare  bool // opened for later attempts
+	reader http1.Reader
 }
 
 // Feed adds received bytes and returns the endpoint's response if it is complete, or nil.
@@ -62,6 +67,17 @@
 	return nil
 }
 
+// Partial returns the head of the response being received if the head is complete and the body is not, or nil.
+func (c *Conn) Partial() *Response {
+	if head := c.reader.Head(); head != nil {
+		return newResponse(&http1.Message{Head: head})
+	}
+	return nil
+}
+
+// Held returns the memory that the connection uses for received and unwritten bytes, in bytes.
+func (c *Conn) Held() int { return c.reader.Held() + c.Unwritten }
+
 // BeginStream switches the response being received to streaming: from now on, the caller reads the body as it arrives.
 // length is the length of the body in bytes, or -1 if the endpoint does not state it.
 func (c *Conn) BeginStream() (length int64) { return c.reader.BeginStream() }
@@ -70,9 +86,9 @@
 func (c *Conn) FeedStream(data []byte) { c.reader.Feed(data) }
 
 // ReadStream returns the data of a streamed body that has arrived since the last call, and whether the response has
-// ended. The data is valid until the next call.
-func (c *Conn) ReadStream() (piece []byte, done bool, err error) {
-	_, piece, done, fault := c.reader.ReadStream()
+// ended. The data is appended to scratch[:0].
+func (c *Conn) ReadStream(scratch []byte) (piece []byte, done bool, err error) {
+	_, piece, done, fault := c.reader.ReadStream(scratch)
 	if fault != nil {
 		return nil, false, fault
 	}
