Do not forward an id again that may have run for a client that has left

Cause: an id was refused only while its request was open, and a client that leaves ends its request. The id of a request that never ran is forgotten.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -21,6 +21,7 @@
 	*core
 	discovery  *discoveryWatch
 	downstream *downstreamConns
+	ids        *idRegistry
 	relays     *relayTable
 	requests   *requestTable
 	shutdown   *shutdown
@@ -203,6 +204,11 @@
 		a.end(att, end, nil)
 		return
 	}
+	if !a.ids.claim(att.request) {
+		a.nothingForwarded(att)
+		a.ids.refuse(att.request)
+		return
+	}
 	att.conn.Phase = upstream.Writing
 	if att.conn.Requests++; att.conn.Requests > 1 {
 		a.stats.upstream.reused++
@@ -219,6 +225,12 @@
 	a.writeUpstream(att.conn, op, upstream.AppendRequest(nil, att.request.Message, att.deadline-a.now))
 }
 
+// nothingForwarded records that an attempt that was allowed is not written.
+func (a *attemptTable) nothingForwarded(att *attempt) {
+	att.request.invariants.AttemptEnded(att.invariantIndex, true)
+	att.invariantIndex = notWritten
+}
+
 // writeUpstream writes to an endpoint.
 func (a *attemptTable) writeUpstream(conn *upstream.Conn, op loop.Op, data []byte) {
 	conn.Unwritten += len(data)
--- a/internal/gateway/downstream.go
+++ b/internal/gateway/downstream.go
@@ -14,6 +14,7 @@
 	attempts  *attemptTable
 	classes   *classTable
 	discovery *discoveryWatch
+	ids       *idRegistry
 	listener  *listener
 	relays    *relayTable
 	requests  *requestTable
--- a/internal/gateway/downstream_request.go
+++ b/internal/gateway/downstream_request.go
@@ -66,11 +66,11 @@
 	case incoming.Health:
 		d.reply(conn, downstream.HealthResponse(d.healthy(), !conn.Closing))
 		return
-	case d.requests.openIDs[incoming.Request.ID]:
+	case d.ids.inUse(incoming.Request):
 		// An endpoint cannot distinguish two requests with the same id: the second would be executed as if it
 		// were the first.
 		d.stats.countResult(class, resultFailed)
-		d.logMalformed(conn, incoming.Request.ID, statusBadRequest, "the id of an open request")
+		d.logMalformed(conn, incoming.Request.ID, statusBadRequest, "the id of a request that is open or may have run")
 		conn.Upload = incoming.Large
 		keep := d.finishRequest(conn)
 		d.reply(conn, downstream.DuplicateIDResponse(keep))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,7 @@
 	cluster    *cluster
 	discovery  *discoveryWatch
 	downstream *downstreamConns
+	ids        *idRegistry
 	listener   *listener
 	relays     *relayTable
 	reload     *reloader
@@ -52,6 +53,7 @@
 		cluster:    new(cluster),
 		discovery:  new(discoveryWatch),
 		downstream: new(downstreamConns),
+		ids:        new(idRegistry),
 		listener:   new(listener),
 		relays:     new(relayTable),
 		reload:     new(reloader),
@@ -69,19 +71,22 @@
 // uses.
 func (g *Gateway) connectTraffic() {
 	*g.downstream = downstreamConns{
-		core: g.core, attempts: g.attempts, classes: g.classes, discovery: g.discovery, listener: g.listener,
+		core: g.core, attempts: g.attempts, classes: g.classes, discovery: g.discovery, ids: g.ids, listener: g.listener,
 		relays: g.relays, requests: g.requests, restart: g.restart, shutdown: g.shutdown, uploads: g.uploads,
 		conns: downstream.NewConns(0),
 	}
 	*g.requests = requestTable{
-		core: g.core, attempts: g.attempts, downstream: g.downstream,
+		core: g.core, attempts: g.attempts, downstream: g.downstream, ids: g.ids,
 		byID: make(map[balancer.RequestID]*request), openIDs: make(map[string]bool),
 	}
 	*g.attempts = attemptTable{
-		core: g.core, discovery: g.discovery, downstream: g.downstream, relays: g.relays, requests: g.requests,
+		core: g.core, discovery: g.discovery, downstream: g.downstream, ids: g.ids, relays: g.relays, requests: g.requests,
 		shutdown: g.shutdown, uploads: g.uploads,
 		pool: upstream.NewPool(0), byConn: make(map[loop.Conn]*attempt), byID: make(map[uint64]*attempt),
 	}
+	*g.ids = idRegistry{
+		core: g.core, attempts: g.attempts, downstream: g.downstream, requests: g.requests,
+	}
 	*g.relays = relayTable{
 		core: g.core, attempts: g.attempts, downstream: g.downstream, requests: g.requests,
 		byConn: make(map[loop.Conn]*relay),
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -17,6 +17,7 @@
 	*core
 	attempts   *attemptTable
 	downstream *downstreamConns
+	ids        *idRegistry
 
 	byID    map[balancer.RequestID]*request
 	openIDs map[string]bool // the clients' ids of the requests that wait for their answer
@@ -34,6 +35,7 @@
 	running    []*attempt // attempts in progress
 	upload     *upload    // its body if that is too large to be buffered, else nil
 	memory     buffermemory.Account
+	claimed    bool // its id is registered as used
 	invariants invariant.Request
 }
 
@@ -89,6 +91,7 @@
 func (t *requestTable) release(req *request) {
 	if req.done && len(req.running) == 0 {
 		delete(t.byID, req.id)
+		t.ids.ended(req)
 		t.buffers.Charge(&req.memory, 0)
 	}
 }
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -68,8 +68,7 @@
 // the connection was idle, the attempt starts again on another one. A new connection has failed: opening further ones to
 // an endpoint that does so would have no end.
 func (a *attemptTable) nothingWritten(conn *upstream.Conn, att *attempt) {
-	att.request.invariants.AttemptEnded(att.invariantIndex, true)
-	att.invariantIndex = notWritten
+	a.nothingForwarded(att)
 	if conn.Requests == 1 {
 		a.end(att, ReasonConnectFailed, nil)
 		return
--- a/internal/invariant/request.go
+++ b/internal/invariant/request.go
@@ -45,11 +45,18 @@
 // MayReject reports whether the client may receive a rejection, which states that the request never ran or that a retry
 // is safe.
 func (r *Request) MayReject() bool {
-	if r.Idempotency == balancer.Idempotent ||
-		r.Idempotency == balancer.KeyedIdempotent && r.DedupScope == balancer.DedupAll {
-		return true
-	}
-	return !slices.ContainsFunc(r.attempts, func(a attempt) bool { return !a.neverRan })
+	return r.Repeatable() || !r.mayHaveRun()
+}
+
+// Repeatable reports whether the request may run more than once, at any endpoint.
+func (r *Request) Repeatable() bool {
+	return r.Idempotency == balancer.Idempotent ||
+		r.Idempotency == balancer.KeyedIdempotent && r.DedupScope == balancer.DedupAll
+}
+
+// mayHaveRun reports whether one of the attempts may have run.
+func (r *Request) mayHaveRun() bool {
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return !a.neverRan })
 }
 
 // mayFollow reports whether attempt a may be written after the ended attempt previous. Work that may have run may be
