Tell the other process of an upgrade which ids must not run again

Cause: each process knew its own ids only. Change: the predecessor passes its ids with its state, and each process tells the other the ids that it forwards, at the end of the turn. Processes of earlier versions, which do not state shares_ids, are told nothing.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,7 +85,7 @@
 		pool: upstream.NewPool(0), byConn: make(map[loop.Conn]*attempt), byID: make(map[uint64]*attempt),
 	}
 	*g.ids = idRegistry{
-		core: g.core, attempts: g.attempts, downstream: g.downstream, requests: g.requests,
+		core: g.core, attempts: g.attempts, downstream: g.downstream, requests: g.requests, restart: g.restart,
 	}
 	*g.relays = relayTable{
 		core: g.core, attempts: g.attempts, downstream: g.downstream, requests: g.requests,
@@ -118,7 +118,7 @@
 	*g.reload = reloader{core: g.core, classes: g.classes, cluster: g.cluster, discovery: g.discovery}
 	*g.restart = hotRestart{
 		core: g.core, attempts: g.attempts, cluster: g.cluster, discovery: g.discovery, downstream: g.downstream,
-		listener: g.listener, shutdown: g.shutdown,
+		ids: g.ids, listener: g.listener, shutdown: g.shutdown,
 	}
 	*g.shutdown = shutdown{
 		core: g.core, cluster: g.cluster, downstream: g.downstream, listener: g.listener, requests: g.requests,
@@ -161,6 +161,7 @@
 		if g.dispatchNeeded {
 			g.emit(loop.Effect{Op: loop.RequestTurn})
 		}
+		g.ids.share()
 		g.restart.passIdleConns()
 		g.shutdown.exitIfDone()
 	}
--- a/internal/gateway/hotrestart.go
+++ b/internal/gateway/hotrestart.go
@@ -23,6 +23,7 @@
 	cluster    *cluster
 	discovery  *discoveryWatch
 	downstream *downstreamConns
+	ids        *idRegistry
 	listener   *listener
 	shutdown   *shutdown
 
--- a/internal/gateway/hotrestart_predecessor.go
+++ b/internal/gateway/hotrestart_predecessor.go
@@ -44,7 +44,10 @@
 func (h *hotRestart) fromSuccessor(m hotrestart.Message) {
 	switch m.Kind {
 	case hotrestart.Hello:
+		h.successor.SharesIDs = m.SharesIDs
 		h.passState(m.Listen)
+	case hotrestart.UsedIDs:
+		h.ids.learn(m.IDs)
 	case hotrestart.Accepting:
 		if h.handover != listenerPassed {
 			h.loseSuccessor("it takes over without having received the listener")
@@ -76,6 +79,8 @@
 		List:            h.discovery.endpoints.Encode(),
 		Balancer:        &learned,
 		DescriptorsHeld: h.descriptors(),
+		SharesIDs:       true,
+		IDs:             h.ids.encoded(),
 	}
 	if h.cluster.membership != nil {
 		state.ClusterStart, state.ClusterIncarnation = h.cluster.membership.Identity()
--- a/internal/gateway/hotrestart_successor.go
+++ b/internal/gateway/hotrestart_successor.go
@@ -20,7 +20,7 @@
 
 func (h *hotRestart) predecessorEvent(e loop.Event) {
 	if e.Kind == loop.Connected {
-		h.send(h.predecessor, hotrestart.Message{Kind: hotrestart.Hello, Listen: h.cfg.Listen.String()}, nil)
+		h.send(h.predecessor, hotrestart.Message{Kind: hotrestart.Hello, Listen: h.cfg.Listen.String(), SharesIDs: true}, nil)
 		return
 	}
 	h.receive(&h.predecessor, e, h.fromPredecessor, h.losePredecessor)
@@ -32,6 +32,8 @@
 	switch m.Kind {
 	case hotrestart.State:
 		h.stopTimer(timerPredecessor, 0)
+		h.predecessor.SharesIDs = m.SharesIDs
+		h.ids.learn(m.IDs)
 		h.inherit(m)
 		h.emit(loop.Effect{Op: loop.AdoptListener, Conn: m.Conns[0], AdoptAs: loop.Listener})
 	case hotrestart.PassConns:
@@ -45,6 +47,8 @@
 			return // the predecessor waits for no Acknowledge of a list
 		}
 		h.send(h.predecessor, hotrestart.Message{Kind: hotrestart.Acknowledge}, nil)
+	case hotrestart.UsedIDs:
+		h.ids.learn(m.IDs)
 	default:
 		h.losePredecessor("no handover: " + string(m.Kind) + ": " + m.Reason)
 	}
--- a/internal/hotrestart/conn.go
+++ b/internal/hotrestart/conn.go
@@ -12,6 +12,7 @@
 // Conn is the connection to the other process of a hot restart.
 type Conn struct {
 	ID        loop.Conn
+	SharesIDs bool        // the other process takes and sends UsedIDs
 	received  []byte      // bytes received and not yet decoded
 	unclaimed []loop.Conn // sockets received whose message has not yet been decoded
 }
--- a/internal/hotrestart/message.go
+++ b/internal/hotrestart/message.go
@@ -29,7 +29,10 @@
 	// states how many descriptors the predecessor still needs.
 	PassConns   Kind = "links"
 	Acknowledge Kind = "got" // from the successor: it has received the connections
-	Decline     Kind = "bye" // from the predecessor: no hot restart is possible, with the reason
+	// UsedIDs is from either process: the ids of requests that it has forwarded and that must not run again. It is sent only
+	// to a process that has stated SharesIDs: earlier versions do not know it.
+	UsedIDs Kind = "ids"
+	Decline Kind = "bye" // from the predecessor: no hot restart is possible, with the reason
 )
 
 // Message is a message from either process.
@@ -47,8 +50,10 @@
 	// cluster; both are 0 if the predecessor is in no cluster.
 	ClusterStart       uint64      `json:"fleet_start,omitempty"`
 	ClusterIncarnation uint64      `json:"fleet_incarnation,omitempty"`
-	DescriptorsPassed  int         `json:"passed,omitempty"` // the number of descriptors passed with this message
-	Conns              []loop.Conn `json:"-"`                // the sockets received with this message
+	SharesIDs          bool        `json:"shares_ids,omitempty"` // for Hello and State: the sender takes UsedIDs
+	IDs                []byte      `json:"ids,omitempty"`        // for State and UsedIDs: the ids, see internal/usedids
+	DescriptorsPassed  int         `json:"passed,omitempty"`     // the number of descriptors passed with this message
+	Conns              []loop.Conn `json:"-"`                    // the sockets received with this message
 }
 
 // IdleConn describes a downstream connection that is passed to the successor.
