Pass on an answer of unknown length while its endpoint still writes it

Cause: such an answer was passed on only once 64 KiB of it had come, since only then it is known to be long; the attempt's timeout did not look whether bytes were coming. Change: an incomplete 200 of unknown length is passed on one second after its begin, and 0.1 s before the attempt's end at the latest.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -44,6 +44,7 @@
 	conn      *upstream.Conn
 	startedAt time.Duration // start of the attempt; with an upload, when the last byte of the body was written
 	deadline  time.Duration // when the attempt ends if it is not complete
+	passOnAt  time.Duration // when its incomplete response is passed on, 0 if it is not
 	// invariantIndex is the attempt's index in the request's invariant record, notWritten before its first byte
 	// is written.
 	invariantIndex int
@@ -279,6 +280,8 @@
 	case att == nil:
 	case att.conn.Phase == upstream.Writing && att.request.upload != nil:
 		a.uploads.checkWrite(att)
+	case att.passOnAt != 0 && a.now < att.deadline:
+		a.passOn(att)
 	default:
 		a.expire(att)
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -59,7 +59,7 @@
 func (t *relayTable) begin(att *attempt, resp *upstream.Response) {
 	req, conn := att.request, att.conn
 	client := t.downstream.conns.ByConn[req.client]
-	if resp.Status != 200 || req.done || client == nil || !t.invariants.AllowAnswer(&req.invariants) {
+	if resp.Status != statusOK || req.done || client == nil || !t.invariants.AllowAnswer(&req.invariants) {
 		t.attempts.responded(att, resp)
 		return
 	}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -9,6 +9,9 @@
 	"thymebend/internal/upstream"
 )
 
+// statusOK is the status of a response that serves its request.
+const statusOK = 200
+
 // idleTimeoutFraction is the fraction of the endpoints' idle timeout after which the gateway closes an idle
 // connection, so that none is reused when its endpoint is about to close it.
 const idleTimeoutFraction = 0.7
@@ -102,13 +105,38 @@
 			a.end(att, ReasonPrematureResponse, nil)
 		} else if head != nil {
 			a.relays.begin(att, head)
+		} else if att.passOnAt == 0 && conn.Phase == upstream.Awaiting && conn.LengthUnknown() {
+			a.passOnLater(att)
 		}
 	}
 }
 
+// An incomplete response of unknown length is passed on this long after its begin, and passOnMargin before the end of its
+// attempt at the latest: it may be a long one, of which only the first bytes must arrive within the client's timeout.
+const (
+	passOnAfter  = time.Second
+	passOnMargin = 100 * time.Millisecond
+)
+
+// passOnLater sets the time at which the response of an attempt is passed on if it is still incomplete.
+func (a *attemptTable) passOnLater(att *attempt) {
+	att.passOnAt = max(a.now, min(a.now+passOnAfter, att.deadline-passOnMargin))
+	a.setTimer(timerAttempt, att.id, att.passOnAt)
+}
+
+// passOn begins to pass on a response that is still incomplete. A response that does not serve the request must be
+// complete by the end of the attempt.
+func (a *attemptTable) passOn(att *attempt) {
+	if head := att.conn.Partial(); head != nil && head.Status == statusOK {
+		a.relays.begin(att, head)
+		return
+	}
+	a.setTimer(timerAttempt, att.id, att.deadline)
+}
+
 // premature reports whether a response claims that the endpoint has served a request whose last byte is not yet written.
 func premature(conn *upstream.Conn, resp *upstream.Response) bool {
-	return conn.Phase == upstream.Writing && resp.Status == 200
+	return conn.Phase == upstream.Writing && resp.Status == statusOK
 }
 
 // unsolicited closes a connection on which an endpoint has sent bytes that belong to no request, late after the
@@ -157,7 +185,7 @@
 func (a *attemptTable) responded(att *attempt, resp *upstream.Response) {
 	end := ReasonErrorResponse
 	switch {
-	case resp.Status == 200:
+	case resp.Status == statusOK:
 		end = ReasonServed
 	case resp.NeverRan && (resp.Status == 503 || resp.Status == 504):
 		end = ReasonRejected
--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -108,6 +108,9 @@
 // Head returns the head of the current message, or nil if it has not been received completely.
 func (r *Reader) Head() *Head { return r.head }
 
+// LengthUnknown reports whether the head of the current message has been received and does not state the body's length.
+func (r *Reader) LengthUnknown() bool { return r.head != nil && r.body.framing != byLength }
+
 // Held returns the memory that the reader uses for received bytes, in bytes.
 func (r *Reader) Held() int {
 	held := cap(r.buffer) + cap(r.payload)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -75,6 +75,9 @@
 	return nil
 }
 
+// LengthUnknown reports whether the head of a response has been received that does not state the length of its body.
+func (c *Conn) LengthUnknown() bool { return c.reader.LengthUnknown() }
+
 // Held returns the memory that the connection uses for received and unwritten bytes, in bytes.
 func (c *Conn) Held() int { return c.reader.Held() + c.Unwritten }
 
