Count a blocked client's time from when it may have written its whole request

Cause: a client's time begins with its last byte, which may wait in its own kernel behind a full receive buffer. The gateway looked at its own receive queue alone, took at most 256 KiB to be unread, and looked only while one piece was being written for over 0.1 s. Change: a look at the queues tells whether the receive buffer is full; if it is and does not grow, the client may have written up to 4 MiB more, and the time counts from the earliest moment at which that may have been all. The queues are looked at each 0.1 s while an upload is being written, whatever its pieces.

--- a/internal/downstream/arrivals.go
+++ b/internal/downstream/arrivals.go
@@ -16,8 +16,12 @@
 // the earlier time.
 const maxMarks = 256
 
-// maxUnread is an upper bound of the bytes in the kernel's receive buffer of a connection.
-const maxUnread = 256 << 10
+// clientSendBuffer is an upper bound of the bytes that a client has written and that its kernel has not yet sent, because
+// the receive buffer of the gateway's machine is full.
+const clientSendBuffer = 4 << 20
+
+// maxUnread is an upper bound of the bytes that a client has written and that the gateway has not yet read.
+const maxUnread = clientSendBuffer + 256<<10
 
 // mark records that the bytes of a connection from the end of the previous mark up to offset were sent no earlier than
 // at.
@@ -143,34 +147,60 @@
 
 // PauseReading records that the gateway stops reading the connection until ResumeReading.
 func (c *Conn) PauseReading(now time.Duration) {
+	continued := c.arrivals.backlog.pending(now)
 	c.ReadingPaused = true
 	c.arrivals.pause(now)
-	c.unread = unread{checkedAt: now, completeSince: c.arrivals.backlog.since}
+	if !continued {
+		c.unread = unread{checkedAt: now, completeSince: c.arrivals.backlog.since}
+	}
 }
 
-// unread records how many bytes wait in the kernel's receive buffer of a connection whose reading is paused.
+// unread records what waits in the kernel's receive buffer of a connection whose reading is paused, while the buffer is
+// never emptied.
 type unread struct {
 	size          int
-	checkedAt     time.Duration // when the size was last looked at, or when reading was paused
-	completeSince time.Duration // the bytes of size may all have been sent at this time, and not earlier
+	blocked       bool          // the client may have written more, which its kernel cannot send
+	checkedAt     time.Duration // when the size was last looked at, or when reading was first paused
+	completeSince time.Duration // the client cannot have written the last byte of its request before this time
 }
 
-// ObserveUnread records that the given number of bytes now waits in the kernel's receive buffer, while reading is paused. A
-// negative number is unknown.
-func (c *Conn) ObserveUnread(now time.Duration, size int) {
-	if size > c.unread.size {
-		c.unread.size, c.unread.completeSince = size, c.unread.checkedAt
+// waiting returns how many bytes the client may have written that were not read.
+func (u unread) waiting() int {
+	if u.blocked {
+		return u.size + clientSendBuffer
 	}
-	c.unread.checkedAt = now
+	return u.size
 }
 
+// ObserveUnread records that the given number of bytes now waits in the kernel's receive buffer, while reading is paused,
+// and whether the buffer may be so full that the client cannot send. A negative number is unknown.
+func (c *Conn) ObserveUnread(now time.Duration, size int, full bool) {
+	if size < 0 {
+		return
+	}
+	u := &c.unread
+	grown := size > u.size
+	if grown && !u.blocked {
+		u.completeSince = u.checkedAt
+	}
+	u.blocked = full && (u.blocked || !grown)
+	u.size, u.checkedAt = size, now
+	if (u.blocked || !full) && !c.reader.MayEndWithin(u.waiting()) {
+		u.completeSince = now
+	}
+}
+
+// BodySent returns the earliest time at which the client may have written the last byte of a streamed body that has been
+// received completely.
+func (c *Conn) BodySent() time.Duration { return max(c.LastByteSent(), c.unread.completeSince) }
+
 // UploadDeadline returns when the client's timeout ends for a request whose body is being streamed. It returns false while
 // the client has not yet sent the last byte, as far as is known: its timeout has then not begun.
 func (c *Conn) UploadDeadline(clientTimeout time.Duration) (deadline time.Duration, begun bool) {
 	switch {
 	case c.reader.Complete():
-		return c.arrivals.sentAt(c.arrivals.bytesReceived) + clientTimeout, true
-	case c.ReadingPaused && c.reader.MayEndWithin(c.unread.size):
+		return max(c.arrivals.sentAt(c.arrivals.bytesReceived), c.unread.completeSince) + clientTimeout, true
+	case c.ReadingPaused && c.reader.MayEndWithin(c.unread.waiting()):
 		return c.unread.completeSince + clientTimeout, true
 	}
 	return 0, false
--- a/internal/gateway/downstream.go
+++ b/internal/gateway/downstream.go
@@ -75,7 +75,7 @@
 		d.flushed(conn)
 	case loop.Queues:
 		if conn.ReadingPaused {
-			conn.ObserveUnread(d.now, e.Queues.Unread)
+			conn.ObserveUnread(d.now, e.Queues.Unread, e.Queues.ReceiveFull)
 		}
 		d.writeChecked(conn, e.Queues.Undelivered)
 	}
--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -13,8 +13,7 @@
 // read, and may have stopped sending; it must get an error within downstream.ErrorDeadline regardless of its endpoint.
 const uploadWriteTimeout = 2500 * time.Millisecond
 
-// uploadCheckInterval is the time between two looks at the queues of an upload whose endpoint does not take the whole
-// piece that is being written.
+// uploadCheckInterval is the time between two looks at the queues of an upload while pieces of it are being written.
 const uploadCheckInterval = 100 * time.Millisecond
 
 // uploads passes on request bodies that are too large to be buffered. The state of each upload is stored with
@@ -37,6 +36,7 @@
 	lastPiece   []byte        // the last piece, while lastHeld
 	lastHeld    bool          // the last piece is not yet written: the gateway looks whether the client is still there
 	progress    downstream.WriteProgress
+	checkAt     time.Duration // when the queues of both connections are looked at next, while a piece is being written
 }
 
 // begin makes a connection with the first part of a body wait until the balancer has chosen an endpoint. If
@@ -84,7 +84,7 @@
 // The result of the read arrives in the same turn of the loop.
 func (u *uploads) holdLast(req *request, conn *downstream.Conn, piece []byte) {
 	up := req.upload
-	up.complete, up.completedAt, conn.Upload = true, conn.LastByteSent(), false
+	up.complete, up.completedAt, conn.Upload = true, conn.BodySent(), false
 	up.lastHeld, up.lastPiece = true, bytes.Clone(piece)
 	u.settleRequest(req)
 	u.downstream.clearDeadline(conn)
@@ -118,8 +118,12 @@
 
 // beginWrite starts the time in which the endpoint must take some of what is written next, the head or a piece.
 func (u *uploads) beginWrite(att *attempt) {
-	att.request.upload.progress.Begin(u.now)
-	u.setTimer(timerAttempt, att.id, u.now+uploadCheckInterval)
+	up := att.request.upload
+	up.progress.Begin(u.now)
+	if up.checkAt <= u.now {
+		up.checkAt = u.now + uploadCheckInterval
+	}
+	u.setTimer(timerAttempt, att.id, up.checkAt)
 }
 
 // checkWrite ends an attempt whose endpoint takes nothing of the request any more, or whose client's time is over.
@@ -134,6 +138,7 @@
 	if begun {
 		next = min(next, deadline)
 	}
+	att.request.upload.checkAt = next
 	u.setTimer(timerAttempt, att.id, next)
 	u.emit(loop.Effect{Op: loop.ReportQueues, Conn: att.conn.ID})
 	if !att.request.upload.complete {
--- a/internal/loop/calls.go
+++ b/internal/loop/calls.go
@@ -18,9 +18,11 @@
 	send        func(fd int, data []byte) (int, error)
 	peek        func(fd int, buf []byte) error
 	unread      func(fd int) (int, error) // bytes in the receive queue
-	undelivered func(fd int) (int, error) // bytes in the send queue, sent or not, that the peer has not acknowledged
-	register    func(epoll, op, fd int, event *unix.EpollEvent) error
-	wait        func(epoll int, ready []unix.EpollEvent, ms int) (int, error)
+	// receiveBuffer returns the size of the receive buffer, with the kernel's own use of it.
+	receiveBuffer func(fd int) (int, error)
+	undelivered   func(fd int) (int, error) // bytes in the send queue, sent or not, that the peer has not acknowledged
+	register      func(epoll, op, fd int, event *unix.EpollEvent) error
+	wait          func(epoll int, ready []unix.EpollEvent, ms int) (int, error)
 }
 
 // kernelCalls returns the system calls of the kernel.
@@ -43,7 +45,10 @@
 			_, _, err := unix.Recvfrom(fd, buf, unix.MSG_PEEK|unix.MSG_DONTWAIT)
 			return err
 		},
-		unread:      func(fd int) (int, error) { return unix.IoctlGetInt(fd, unix.SIOCINQ) },
+		unread: func(fd int) (int, error) { return unix.IoctlGetInt(fd, unix.SIOCINQ) },
+		receiveBuffer: func(fd int) (int, error) {
+			return unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF)
+		},
 		undelivered: func(fd int) (int, error) { return unix.IoctlGetInt(fd, unix.SIOCOUTQ) },
 		register:    unix.EpollCtl,
 		wait:        unix.EpollWait,
--- a/internal/loop/sockets.go
+++ b/internal/loop/sockets.go
@@ -259,11 +259,17 @@
 	return errors.Is(err, unix.EAGAIN)
 }
 
+// receiveFullDivisor is the inverse of the fraction of a receive buffer that may suffice to keep the peer from sending: the
+// kernel announces at most half of the buffer, and small segments take more of it than their bytes.
+const receiveFullDivisor = 3
+
 // reportQueues queues the sizes of a connection's queues. What a socket does not tell is reported as unknown.
 func (l *Loop) reportQueues(s *socket) {
 	sizes := QueueSizes{Unread: -1, Undelivered: -1}
 	if n, err := l.syscalls.unread(s.fd); err == nil {
 		sizes.Unread = n
+		buffer, err := l.syscalls.receiveBuffer(s.fd)
+		sizes.ReceiveFull = err == nil && n >= buffer/receiveFullDivisor
 	}
 	if n, err := l.syscalls.undelivered(s.fd); err == nil {
 		sizes.Undelivered = n + len(s.unwritten)
--- a/internal/loop/types.go
+++ b/internal/loop/types.go
@@ -85,6 +85,9 @@
 type QueueSizes struct {
 	// Unread is the number of received bytes that were not yet read.
 	Unread int
+	// ReceiveFull reports that the receive buffer may be so full that the kernel keeps the peer from sending: the peer may
+	// have written more.
+	ReceiveFull bool
 	// Undelivered is the number of written bytes that the peer's machine has not yet acknowledged. It decreases while the
 	// peer reads, even if the kernel does not report the socket as writable for a long time: it does so only once about a
 	// third of its send buffer is free.
