Take an endpoint for gone once another one has come up at its address

Cause: the list is keyed by name, and two names at one address both stayed usable until discovery removed the old one; its connections and retries reached the new process. Change: of two endpoints at one address the one that started later, or was told later, stays; the other is removed, with its idle connections and unwritten attempts. What is not told cannot be known: until the list names the new endpoint, a process at a known address is taken for the one that is listed.

--- a/internal/discovery/endpoints.go
+++ b/internal/discovery/endpoints.go
@@ -29,12 +29,37 @@
 type Endpoints struct {
 	zones   []string
 	byID    map[balancer.EndpointID]*Endpoint
+	byAddr  map[netip.AddrPort]balancer.EndpointID // the endpoint that was set last at each address
 	version uint64 // the field seq of the last object applied; 0 before the first
 }
 
 // NewEndpoints returns an empty list. The Zone of an endpoint is the index of its field site in zones.
 func NewEndpoints(zones []string) *Endpoints {
-	return &Endpoints{zones: zones, byID: make(map[balancer.EndpointID]*Endpoint)}
+	return &Endpoints{
+		zones: zones, byID: make(map[balancer.EndpointID]*Endpoint), byAddr: make(map[netip.AddrPort]balancer.EndpointID),
+	}
+}
+
+// set adds an endpoint to the list, replaces it or, if its state says so, removes it.
+func (eps *Endpoints) set(ep *Endpoint) {
+	eps.remove(ep.ID)
+	if ep.State == balancer.EndpointRemoved {
+		return
+	}
+	eps.byID[ep.ID] = ep
+	eps.byAddr[ep.Addr] = ep.ID
+}
+
+// remove removes an endpoint from the list.
+func (eps *Endpoints) remove(id balancer.EndpointID) {
+	ep := eps.byID[id]
+	if ep == nil {
+		return
+	}
+	delete(eps.byID, id)
+	if eps.byAddr[ep.Addr] == id {
+		delete(eps.byAddr, ep.Addr)
+	}
 }
 
 // Find returns the endpoint with this ID, or nil if the list does not contain it.
--- a/internal/discovery/update.go
+++ b/internal/discovery/update.go
@@ -49,17 +49,18 @@
 	}
 	update := Update{Snapshot: doc.Snapshot, Entries: make([]balancer.Endpoint, 0, len(listed))}
 	if doc.Snapshot {
+		listed = currentAtEachAddress(listed)
 		update.Changed = eps.removeUnlisted(listed)
 	}
 	for _, ep := range listed {
+		if !doc.Snapshot && !eps.replaceAtAddress(ep, &update) {
+			continue
+		}
 		old := eps.byID[ep.ID]
 		if old != nil && (old.StartedAt != ep.StartedAt || old.Addr != ep.Addr || ep.State != balancer.EndpointReady) {
 			update.Changed = append(update.Changed, ep.ID)
 		}
-		eps.byID[ep.ID] = ep
-		if ep.State == balancer.EndpointRemoved {
-			delete(eps.byID, ep.ID)
-		}
+		eps.set(ep)
 		update.Entries = append(update.Entries, ep.Endpoint)
 	}
 	eps.version = *doc.Seq
@@ -75,7 +76,7 @@
 	for id := range eps.byID {
 		if !named[id] {
 			removed = append(removed, id)
-			delete(eps.byID, id)
+			eps.remove(id)
 		}
 	}
 	slices.Sort(removed) // map order is random, but equal events must have equal effects
@@ -112,9 +113,7 @@
 		}
 		ep := *eps.byID[id]
 		ep.State = states[id]
-		if eps.byID[id] = &ep; ep.State == balancer.EndpointRemoved {
-			delete(eps.byID, id)
-		}
+		eps.set(&ep)
 		update.Changed = append(update.Changed, id)
 		update.Entries = append(update.Entries, ep.Endpoint)
 	}
