--- a/internal/gateway/buffers.go
+++ b/internal/gateway/buffers.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"slices"
+
 	"thymebend/internal/downstream"
 	"thymebend/internal/loop"
 	"thymebend/internal/upstream"
@@ -63,6 +65,16 @@
 	}
 }
 
+// relieveAll gives up incomplete requests, the newest first, until the budget suffices, because it has become smaller.
+func (d *downstreamConns) relieveAll() {
+	if !d.buffers.Exhausted() {
+		return
+	}
+	for _, conn := range slices.Backward(d.conns.InOrder()) {
+		d.relieve(conn)
+	}
+}
+
 // shed rejects a request that is not yet complete, to free the memory that it uses.
 func (d *downstreamConns) shed(conn *downstream.Conn) {
 	d.logShed(conn)
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -47,6 +47,7 @@
 		memory /= 2
 	}
 	h.buffers.SetLimit(int(memory * bufferShare))
+	h.downstream.relieveAll()
 	heap := memory * heapShare
 	if int64(heap) != h.heapBytes {
 		h.heapBytes = int64(heap)
--- a/internal/lab/mutationtest/main.go
+++ b/internal/lab/mutationtest/main.go
@@ -26,6 +26,7 @@
 	stoppedClientsProfile = "stopped-clients" // clients stop in the middle of their requests
 	lateResponsesProfile  = "late-responses"  // hosts send bytes after their responses
 	slowPeersProfile      = "slow-peers"      // clients and hosts that read or write slowly, leave or flood
+	hoardersProfile       = "hoarders"        // clients for which much must be kept, and ids that come again
 	rolloutsProfile       = "rollouts"        // simulates the configuration distribution instead of whole gateways
 )
 
--- a/internal/lab/simulation/clients.go
+++ b/internal/lab/simulation/clients.go
@@ -32,6 +32,7 @@
 	sent         bool   // the last byte of the request is written
 	resent       bool   // the request was sent a second time because the connection closed without reading it
 	awaitedReset bool   // the client has waited for the reset that may follow a close
+	repeated     bool   // the client has left before and sends the same id again
 	unsafeViews  bool   // the client used settings in which the class tender-view is unsafe (not idempotent)
 	pending      []byte // rest of a large request, not yet accepted by the connection
 }
@@ -184,6 +185,13 @@
 	case gone:
 		c.sendAndLeave(text)
 		return
+	case hoard:
+		c.sendPart(text[:len(text)-1], 1)
+		return
+	case again:
+		if !c.repeated {
+			c.run.sim.After(c.run.sim.Between(time.Millisecond, 300*time.Millisecond), c.leaveAndComeAgain)
+		}
 	case "leave":
 		c.run.sim.After(c.run.sim.Between(time.Millisecond, 300*time.Millisecond), func() { c.finish("left") })
 	}
@@ -308,7 +316,9 @@
 	}
 	c.run.sim.Note("client %s ends: %s", c.id, cause)
 	now := c.run.sim.Now()
-	c.run.clients.Update(c.id, func(t *requestrecord.Attempt) { t.Ended, t.Cause = now, cause })
+	if !c.repeated { // otherwise the record says that the client has left
+		c.run.clients.Update(c.id, func(t *requestrecord.Attempt) { t.Ended, t.Cause = now, cause })
+	}
 	if c.end != nil {
 		c.end.ready = nil
 		c.end.Close()
--- a/internal/lab/simulation/draw.go
+++ b/internal/lab/simulation/draw.go
@@ -233,8 +233,11 @@
 	if r.Behaviour == "stop" {
 		r.SentShare, r.Pieces, r.PauseMS = rng.Float64(), d.between(1, 3), d.between(10, 700)
 	}
-	if d.plan.Profile == slowPeersProfile {
+	switch d.plan.Profile {
+	case slowPeersProfile:
 		d.drawSlowPeer(&r)
+	case hoardersProfile:
+		d.drawHoarder(&r)
 	}
 	return r
 }
--- a/internal/lab/simulation/gatewaynode.go
+++ b/internal/lab/simulation/gatewaynode.go
@@ -73,7 +73,7 @@
 		"listen":    g.addr.String(),
 		"discovery": s.discovery.addrs[g.index].String(),
 		"seed":      fmt.Sprintf("%016x", s.sim.Rand.Uint64()),
-		"limits":    map[string]any{"cores": 1, "memory_mb": 64, "sockets": s.plan.Sockets},
+		"limits":    map[string]any{"cores": 1, "memory_mb": s.plan.limitMemory(), "sockets": s.plan.Sockets},
 		"known":     json.RawMessage(g.initialList().Line(g.name, 0)),
 		"settings":  g.settings(),
 	})
--- a/internal/lab/simulation/profiles.go
+++ b/internal/lab/simulation/profiles.go
@@ -45,6 +45,8 @@
 			"gateway-term", "gateway-upgrade", "rude-leave"},
 		slowPeersProfile: {"bulk", "slow-read", "slow-write", "rude-gone", "rude-empty", "rude-leave", "host-hang", "host-deaf",
 			"net-split", "net-jitter", "surge", "gateway-term", "gateway-upgrade"},
+		hoardersProfile: {"rude-hoard", "rude-again", "bulk", "host-hang", "host-errors", "net-split", "net-jitter", "surge",
+			"gateway-upgrade"},
 		"reload": {"gateway-reload", "host-drain", "host-replace", "discovery-down", "gateway-term"},
 		"everything": slices.Concat(hosts, spoils, gateways, disc, rude, net, []string{"surge", "host-cold",
 			"gateway-reload"}),
@@ -82,7 +84,8 @@
 // drawnByDefault reports whether a seed may select the profile when the caller of Draw names none.
 func drawnByDefault(profile string) bool {
 	return profile != fleetProfile && profile != discoveryLoadProfile && profile != stoppedProfile &&
-		profile != clockProfile && profile != lateProfile && profile != slowPeersProfile
+		profile != clockProfile && profile != lateProfile && profile != slowPeersProfile &&
+		profile != hoardersProfile
 }
 
 // Profiles returns the names of the profiles in order.
--- a/internal/lab/simulation/simulator.go
+++ b/internal/lab/simulation/simulator.go
@@ -15,18 +15,19 @@
 // Rules in addition to those of requestrecord.
 const (
 	Panicked                = "panic"
-	Stuck                   = "stuck"          // a gateway did not exit after SIGTERM though it had no request to answer
-	WokeUpIdle              = "not asleep"     // an idle gateway woke up too often
-	Leaked                  = "leaked"         // more timers than idle connections need at the end of the run
-	ValidRequestRefused     = "wronged"        // a valid request was answered as an invalid one
-	DescriptorsExceeded     = "overspent"      // two processes of one gateway had more descriptors than its limit
-	BadExit                 = "bad exit"       // a process ended with an error
-	HostConnectionsExceeded = "crowded"        // more connections to one host than the assignments of a cluster allow
-	IdleClosedDuringUpgrade = "shut door"      // an upgrade closed an idle client connection
-	StoppedClientUnanswered = "not heard"      // a client that stopped in mid-request got no error or close in time
-	AnswerCutOff            = "cut off"        // an answer ended before its last byte though host and network were well
-	LeftClientServed        = "ran for nobody" // a host got the whole request of a client that had left before the attempt
-	EffectSuppressed        = "held back"      // an invariant checker suppressed an effect that would have broken a rule
+	Stuck                   = "stuck"              // a gateway did not exit after SIGTERM though it had no request to answer
+	WokeUpIdle              = "not asleep"         // an idle gateway woke up too often
+	Leaked                  = "leaked"             // more timers than idle connections need at the end of the run
+	ValidRequestRefused     = "wronged"            // a valid request was answered as an invalid one
+	DescriptorsExceeded     = "overspent"          // two processes of one gateway had more descriptors than its limit
+	BadExit                 = "bad exit"           // a process ended with an error
+	HostConnectionsExceeded = "crowded"            // more connections to one host than the assignments of a cluster allow
+	IdleClosedDuringUpgrade = "shut door"          // an upgrade closed an idle client connection
+	StoppedClientUnanswered = "not heard"          // a client that stopped in mid-request got no error or close in time
+	AnswerCutOff            = "cut off"            // an answer ended before its last byte though host and network were well
+	MemoryOverBudget        = "memory over budget" // a gateway's connections use more memory than they may together
+	LeftClientServed        = "ran for nobody"     // a host got the whole request of a client that had left before the attempt
+	EffectSuppressed        = "held back"          // an invariant checker suppressed an effect that would have broken a rule
 )
 
 // Limits of the rules.
@@ -127,6 +128,7 @@
 	// The faults of the network begin once everything is started.
 	sim.Run(epoch + 300*time.Millisecond)
 	s.net.SplitChance, s.net.ResetChance, s.net.LoseDialChance = p.Split, p.Resets, p.LoseDials
+	s.watchMemory()
 	start := sim.Now()
 	end := 0
 	for i, r := range p.Requests {
--- a/internal/lab/simulation/simulator_test.go
+++ b/internal/lab/simulation/simulator_test.go
@@ -92,6 +92,25 @@
 	}
 }
 
+// Clients that send all but the last byte, and clients that leave and come again with their id, at the least memory.
+func TestHoardersHoldTheRules(t *testing.T) {
+	for seed := range uint64(24) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			p := draw(t, seed, hoardersProfile)
+			if o := playAndVerify(t, p); o.Attempts < 50 || o.Served < o.Attempts/4 {
+				t.Errorf("too few requests made or served: %+v", o)
+			}
+		})
+	}
+}
+
+// Guards against an answer that comes after the client's time because its connection has waited to be accepted.
+func TestClientsThatWaitToBeAcceptedAreAnsweredInTime(t *testing.T) {
+	const seed = 375
+	playAndVerify(t, draw(t, seed, hoardersProfile))
+}
+
 // Gateways with a gossip file go through kills, stops, failed upgrades, cuts and malformed datagrams: the states
 // in their views are correct.
 func TestViewsHoldTheRules(t *testing.T) {
