--- a/internal/discovery/endpoints.go
+++ b/internal/discovery/endpoints.go
@@ -30,7 +30,7 @@
 	zones   []string
 	byID    map[balancer.EndpointID]*Endpoint
 	byAddr  map[netip.AddrPort]balancer.EndpointID // the endpoint that was set last at each address
-	version uint64 // the field seq of the last object applied; 0 before the first
+	version uint64                                 // the field seq of the last object applied; 0 before the first
 }
 
 // NewEndpoints returns an empty list. The Zone of an endpoint is the index of its field site in zones.
--- a/internal/lab/drill/check.go
+++ b/internal/lab/drill/check.go
@@ -123,6 +123,7 @@
 	n := f.Gateways.Count
 	c.require(n >= 2 && n <= maxGateways, "gateways.count", "must be 2 to %d in a drill", maxGateways)
 	f.StoppedClients.check(in)
+	f.Hoarders.check(in, f.Gateways.Count)
 	c.gateways("fleet.late", f.Cluster.StartedLater)
 	c.require(len(f.Cluster.StartedLater) < n, "fleet.late", "at least one gateway must run from the start")
 	c.require(f.Cluster.SlowStartRate >= 0 && (f.Cluster.SlowStartRate == 0 || f.Cluster.DivideHosts), "fleet.warm_rate",
--- a/internal/lab/drill/format.go
+++ b/internal/lab/drill/format.go
@@ -23,6 +23,7 @@
 	Faults         []Fault        `toml:"fault"`
 	Expectations   []Expectation  `toml:"expect"`
 	StoppedClients StoppedClients `toml:"stopped_clients"`
+	Hoarders       Hoarders       `toml:"hoarders"`
 }
 
 // Cluster configures what the gateways know of each other.
--- a/internal/lab/drill/run.go
+++ b/internal/lab/drill/run.go
@@ -146,6 +146,7 @@
 	var failed []error
 	all.Go(func() { r.checkPeriodically(ctx) }) // returns at the end of the load
 	all.Go(func() { r.stopClients(ctx, r.seed) })
+	all.Go(func() { r.runHoarders(ctx) })
 	for i := range faults {
 		f := &faults[i]
 		if !experiment.Sleep(ctx, f.At.Duration-r.now()) {
--- a/internal/lab/soak/draw.go
+++ b/internal/lab/soak/draw.go
@@ -117,12 +117,14 @@
 	g.writeLine("name = \"soak-%d\"", seed)
 	g.writeLine("title = \"Random faults that overlap, seed %d\"", seed)
 	g.writeLine("seed = %d", seed%(1<<62)+1)
-	g.writeLine("\n[gateways]\ncount = %d\nlog = \"debug\"\nsockets = %d\nspread = %v", g.gateways,
-		g.intBetween(256, 600), g.random.IntN(2) == 0)
+	limits := drawLimits(seed, g.gateways, g.intBetween(256, 600))
+	g.writeLine("\n[gateways]\ncount = %d\nlog = \"debug\"\nsockets = %d\nmemory_mb = %d\nspread = %v", g.gateways,
+		limits.sockets, limits.memoryMB, g.random.IntN(2) == 0)
 	g.writeLine("\n[discovery]\nlag = %q", g.milliseconds(0, 400))
 	g.writeLine("\n[clients]\nretries = 1\nconnections = %d\nmarks_retry = true\nslow_share = 0.05\nslow_for = \"1500ms\"\nsilent = %d",
 		6*g.gateways, g.silentClients())
 	g.writeLine("\n[stopped_clients]\nevery = %q\nflood_share = %.2f\n", g.milliseconds(20, 120), floodShare(seed))
+	g.writeLine("[hoarders]\ncount = %d\ngateway = %d\n", limits.hoarders, limits.hoardedAt)
 	clientTimeouts := []int{900, 2000, 2500, 3700, 4600}
 	view, bid := clientTimeouts[g.random.IntN(len(clientTimeouts))], clientTimeouts[g.random.IntN(len(clientTimeouts))]
 	g.writeTable("class", stringField("name", "view"), numberField("share", 0.6),
@@ -144,6 +146,27 @@
 	return maxFloodShare * rand.New(rand.NewPCG(seed, 0xf100d)).Float64()
 }
 
+// processLimits are the limits of the gateways' processes, and the clients that make one of them hold much.
+type processLimits struct {
+	sockets, memoryMB   int
+	hoarders, hoardedAt int
+}
+
+// drawLimits draws limits from the least to the largest that the operators' pages name, from a stream of its own: the rest
+// of a seed's drill stays as it was. Half of the runs have hoarders, and half of these many descriptors at little memory.
+func drawLimits(seed uint64, gateways, sockets int) processLimits {
+	random := rand.New(rand.NewPCG(seed, 0x40a2d))
+	limits := processLimits{sockets: sockets, memoryMB: []int{32, 32, 64, 192}[random.IntN(4)]}
+	if random.IntN(2) == 0 {
+		limits.hoarders, limits.hoardedAt = 100+random.IntN(500), random.IntN(gateways)
+		if random.IntN(2) == 0 {
+			limits.sockets, limits.memoryMB = 1024, 32
+		}
+		limits.hoarders = min(limits.hoarders, limits.sockets/2)
+	}
+	return limits
+}
+
 // maxCrowd is the largest number of silent clients. The rig has a descriptor for each.
 const maxCrowd = 4000
 
