Count the time of a request that waited to be accepted from when its bytes arrived

Cause: a connection that waits in the accept queue, up to 0.7 s until a stalled one may be evicted, was taken to have sent its request when it was accepted. Change: after the listener was paused, the kernel is asked when the last bytes of each accepted connection arrived, until the queue is empty once.

--- a/internal/downstream/arrivals.go
+++ b/internal/downstream/arrivals.go
@@ -155,6 +155,15 @@
 	}
 }
 
+// ObserveWait records that the client's bytes may have waited while the connection was not yet accepted: the last of the
+// unread bytes arrived at the given time.
+func (c *Conn) ObserveWait(now, arrivedAt time.Duration, unread int) {
+	if unread <= 0 || c.arrivals.bytesReceived > 0 {
+		return
+	}
+	c.arrivals.backlog = backlog{active: true, since: min(arrivedAt, now), nextSince: now}
+}
+
 // unread records what waits in the kernel's receive buffer of a connection whose reading is paused, while the buffer is
 // never emptied.
 type unread struct {
--- a/internal/gateway/downstream.go
+++ b/internal/gateway/downstream.go
@@ -31,6 +31,9 @@
 func (d *downstreamConns) accepted(c loop.Conn) {
 	added := d.conns.Add(c, d.now)
 	d.logConnAccepted(added)
+	if d.listener.queued {
+		d.emit(loop.Effect{Op: loop.ReportQueues, Conn: c})
+	}
 	for range singleUseBatch {
 		if conn := d.conns.SingleUse(d.now); conn != nil && d.restart.isOnlyProcess() {
 			d.readThenClose(conn)
@@ -74,6 +77,9 @@
 	case loop.Flushed:
 		d.flushed(conn)
 	case loop.Queues:
+		if !conn.HasRequested && e.Queues.LastReceivedAgo >= 0 {
+			conn.ObserveWait(d.now, d.now-e.Queues.LastReceivedAgo, e.Queues.Unread)
+		}
 		if conn.ReadingPaused {
 			conn.ObserveUnread(d.now, e.Queues.Unread, e.Queues.ReceiveFull)
 		}
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -29,6 +29,9 @@
 	shutdown   *shutdown
 
 	phase listenerPhase
+	// queued reports that connections may wait in the accept queue, since the listener was paused and the queue was not
+	// empty after that.
+	queued bool
 }
 
 func (ln *listener) handleEvent(e loop.Event) {
@@ -41,6 +44,7 @@
 		}
 		ln.accept()
 	case loop.WouldBlock:
+		ln.queued = false
 		if ln.shutdown.closing() {
 			ln.shutdown.endListener()
 		}
@@ -67,7 +71,7 @@
 // pause stops accepting, so that the loop does not spin while connections wait that cannot be accepted.
 func (ln *listener) pause() {
 	if ln.phase != acceptPaused && ln.shutdown.phase != phaseDrained {
-		ln.phase = acceptPaused
+		ln.phase, ln.queued = acceptPaused, true
 		ln.emit(loop.Effect{Op: loop.PauseReading, Conn: loop.Listener})
 		ln.setTimer(timerAccept, 0, ln.now+acceptPauseDuration)
 	}
--- a/internal/lab/simulation/effects.go
+++ b/internal/lab/simulation/effects.go
@@ -69,7 +69,8 @@
 	case loop.ReportQueues:
 		l.queueEvent(loop.Event{Kind: loop.Queues, Conn: s.conn, Queues: loop.QueueSizes{
 			Unread: len(s.end.inbox), ReceiveFull: s.end.peer != nil && s.end.peer.space <= 0,
-			Undelivered: len(s.pending) + s.end.unacknowledged(),
+			LastReceivedAgo: l.sim.Now() - s.end.lastArrivalAt,
+			Undelivered:     len(s.pending) + s.end.unacknowledged(),
 		}})
 	case loop.Shutdown:
 		s.end.CloseWrite()
--- a/internal/lab/simulation/net.go
+++ b/internal/lab/simulation/net.go
@@ -135,23 +135,25 @@
 
 // End is one end of a connection.
 type End struct {
-	net          *Net
-	peer         *End
-	inbox        []byte
-	firstSentAt  time.Duration // when the first byte of inbox was sent
-	fin          bool          // the peer has shut down its sending side
-	reset        bool
-	cutByNetwork bool // the network caused the reset, neither end did
-	closed       bool
-	writeClosed  bool          // this end has shut down its sending side
-	endedAt      time.Duration // time of the shutdown or reset by this end; 0 before
-	buffers      buffers
-	space        int // number of bytes that the connection still accepts from this end
-	lastDelivery time.Duration
-	silent       *bool        // this end's machine neither sends nor receives while it is set
-	undelivered  []func()     // deliveries held back from a silent machine
-	ready        func()       // called when something has arrived or there is room again
-	passed       []descriptor // sockets passed with the bytes of inbox
+	net         *Net
+	peer        *End
+	inbox       []byte
+	firstSentAt time.Duration // when the first byte of inbox was sent
+	// lastArrivalAt is when bytes last arrived, 0 before the first.
+	lastArrivalAt time.Duration
+	fin           bool // the peer has shut down its sending side
+	reset         bool
+	cutByNetwork  bool // the network caused the reset, neither end did
+	closed        bool
+	writeClosed   bool          // this end has shut down its sending side
+	endedAt       time.Duration // time of the shutdown or reset by this end; 0 before
+	buffers       buffers
+	space         int // number of bytes that the connection still accepts from this end
+	lastDelivery  time.Duration
+	silent        *bool        // this end's machine neither sends nor receives while it is set
+	undelivered   []func()     // deliveries held back from a silent machine
+	ready         func()       // called when something has arrived or there is room again
+	passed        []descriptor // sockets passed with the bytes of inbox
 }
 
 // Listen opens a listener. ready is called when a connection waits to be accepted.
@@ -308,6 +310,7 @@
 			e.deliver(func() { e.receiveReset() })
 		default:
 			p.inbox = append(p.inbox, data...)
+			p.lastArrivalAt = p.net.sim.Now()
 			p.notifyReady()
 		}
 	})
--- a/internal/loop/calls.go
+++ b/internal/loop/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -20,9 +21,11 @@
 	unread      func(fd int) (int, error) // bytes in the receive queue
 	// receiveBuffer returns the size of the receive buffer, with the kernel's own use of it.
 	receiveBuffer func(fd int) (int, error)
-	undelivered   func(fd int) (int, error) // bytes in the send queue, sent or not, that the peer has not acknowledged
-	register      func(epoll, op, fd int, event *unix.EpollEvent) error
-	wait          func(epoll int, ready []unix.EpollEvent, ms int) (int, error)
+	// lastReceivedAgo returns the time since the last bytes arrived at a socket.
+	lastReceivedAgo func(fd int) (time.Duration, error)
+	undelivered     func(fd int) (int, error) // bytes in the send queue, sent or not, that the peer has not acknowledged
+	register        func(epoll, op, fd int, event *unix.EpollEvent) error
+	wait            func(epoll int, ready []unix.EpollEvent, ms int) (int, error)
 }
 
 // kernelCalls returns the system calls of the kernel.
@@ -49,6 +52,13 @@
 		receiveBuffer: func(fd int) (int, error) {
 			return unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF)
 		},
+		lastReceivedAgo: func(fd int) (time.Duration, error) {
+			info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+			if err != nil {
+				return 0, err
+			}
+			return time.Duration(info.Last_data_recv) * time.Millisecond, nil
+		},
 		undelivered: func(fd int) (int, error) { return unix.IoctlGetInt(fd, unix.SIOCOUTQ) },
 		register:    unix.EpollCtl,
 		wait:        unix.EpollWait,
--- a/internal/loop/queues_test.go
+++ b/internal/loop/queues_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -48,7 +49,10 @@
 func TestUnknownQueueSizesAreReportedAsUnknown(t *testing.T) {
 	addr, _ := listenPeer(t)
 	fail := func(int) (int, error) { return 0, unix.ENOTTY }
-	r := runLoop(t, func(c *syscalls) { c.unread, c.undelivered = fail, fail }, func(e Event) []Effect {
+	r := runLoop(t, func(c *syscalls) {
+		c.unread, c.undelivered = fail, fail
+		c.lastReceivedAgo = func(int) (time.Duration, error) { return 0, unix.ENOTTY }
+	}, func(e Event) []Effect {
 		switch e.Kind {
 		case Start:
 			return []Effect{{Op: Dial, Conn: 1, Addr: addr}}
@@ -60,8 +64,39 @@
 		return nil
 	})
 	for _, e := range r.events {
-		if unknown := (QueueSizes{Unread: -1, Undelivered: -1}); e.Kind == Queues && e.Queues != unknown {
+		if unknown := (QueueSizes{Unread: -1, Undelivered: -1, LastReceivedAgo: -1}); e.Kind == Queues && e.Queues != unknown {
 			t.Errorf("sizes %+v, want both unknown", e.Queues)
 		}
 	}
 }
+
+// Guards against a time of arrival that is taken to be unknown, or to be that of the read.
+func TestQueuesShowWhenBytesArrived(t *testing.T) {
+	addr, conns := listenPeer(t)
+	r := runLoop(t, func(*syscalls) {}, func(e Event) []Effect {
+		switch e.Kind {
+		case Start:
+			return []Effect{{Op: Dial, Conn: 1, Addr: addr}}
+		case Connected:
+			if _, err := (<-conns).Write([]byte("bytes")); err != nil {
+				t.Fatal(err)
+			}
+		case Readable:
+			return []Effect{{Op: PauseReading, Conn: 1}, {Op: SetTimer, Timer: Timer{ID: 1}, At: NewClock().Now() + 60*time.Millisecond}}
+		case TimerDue:
+			return []Effect{{Op: ReportQueues, Conn: 1}}
+		case Queues:
+			return []Effect{{Op: Exit}}
+		}
+		return nil
+	})
+	last := r.events[len(r.events)-1]
+	for _, e := range r.events {
+		if e.Kind == Queues {
+			last = e
+		}
+	}
+	if ago := last.Queues.LastReceivedAgo; last.Queues.Unread != 5 || ago < 40*time.Millisecond || ago > 10*time.Second {
+		t.Errorf("%d bytes unread, arrived %v ago, want 5 bytes and 60 ms", last.Queues.Unread, ago)
+	}
+}
--- a/internal/loop/sockets.go
+++ b/internal/loop/sockets.go
@@ -265,12 +265,15 @@
 
 // reportQueues queues the sizes of a connection's queues. What a socket does not tell is reported as unknown.
 func (l *Loop) reportQueues(s *socket) {
-	sizes := QueueSizes{Unread: -1, Undelivered: -1}
+	sizes := QueueSizes{Unread: -1, Undelivered: -1, LastReceivedAgo: -1}
 	if n, err := l.syscalls.unread(s.fd); err == nil {
 		sizes.Unread = n
 		buffer, err := l.syscalls.receiveBuffer(s.fd)
 		sizes.ReceiveFull = err == nil && n >= buffer/receiveFullDivisor
 	}
+	if ago, err := l.syscalls.lastReceivedAgo(s.fd); err == nil {
+		sizes.LastReceivedAgo = ago
+	}
 	if n, err := l.syscalls.undelivered(s.fd); err == nil {
 		sizes.Undelivered = n + len(s.unwritten)
 	}
--- a/internal/loop/types.go
+++ b/internal/loop/types.go
@@ -88,6 +88,8 @@
 	// ReceiveFull reports that the receive buffer may be so full that the kernel keeps the peer from sending: the peer may
 	// have written more.
 	ReceiveFull bool
+	// LastReceivedAgo is the time since the last bytes arrived, read or not. It is negative if it is unknown.
+	LastReceivedAgo time.Duration
 	// Undelivered is the number of written bytes that the peer's machine has not yet acknowledged. It decreases while the
 	// peer reads, even if the kernel does not report the socket as writable for a long time: it does so only once about a
 	// third of its send buffer is free.
