--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -143,7 +143,11 @@
 // BeginRead returns the number of bytes that the next read of the connection may return.
 func (c *Conn) BeginRead() int {
 	c.readLimit = loop.ReadSize
-	if !c.DiscardBody && !c.WriteClosed { // otherwise the bytes are not kept
+	switch {
+	case c.DiscardBody, c.WriteClosed: // the bytes are not kept
+	case c.FinalRead: // many connections may be read in one Step
+		c.readLimit = buffermemory.MinAllowance
+	default:
 		c.readLimit = min(c.allowance, loop.ReadSize)
 	}
 	return c.readLimit
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -57,7 +57,8 @@
 	timers         timers
 	events         []Event // the queue of events, delivered before the loop examines another socket or timer
 	buffer         []byte
-	bufferInUse    bool // buffer holds data that is not yet delivered
+	spareBuffer    []byte // for reads while bufferInUse; nil until it is needed
+	bufferInUse    bool   // buffer holds data that is not yet delivered
 	readyEvents    []unix.EpollEvent
 	turnRequested  bool
 	exit           bool
--- a/internal/loop/sockets.go
+++ b/internal/loop/sockets.go
@@ -1,6 +1,7 @@
 package loop
 
 import (
+	"bytes"
 	"cmp"
 	"errors"
 	"net/netip"
@@ -166,15 +167,16 @@
 
 // read reads at most limit bytes, or one buffer if limit is 0, and queues the data. Data beyond it is reported by the next Readable event; on an
 // urgent socket that event follows in the same turn, so that a long list of discovery is delivered whole before
-// requests are dispatched. If the shared buffer holds data that is not yet delivered, read allocates a new one.
+// requests are dispatched. If the shared buffer holds data that is not yet delivered, read copies the data.
 func (l *Loop) read(s *socket, limit int) {
 	if s.isDatagram {
 		l.readDatagrams(s)
 		return
 	}
-	buf := l.buffer[:cmp.Or(min(limit, ReadSize), ReadSize)]
+	limit = cmp.Or(min(limit, ReadSize), ReadSize)
+	buf := l.buffer[:limit]
 	if l.bufferInUse {
-		buf = make([]byte, len(buf))
+		buf = l.secondBuffer()[:limit]
 	}
 	n, passed, err := 0, []int(nil), error(nil)
 	if s.isUnix {
@@ -190,14 +192,26 @@
 	case n == 0:
 		l.queueEvent(Event{Kind: EOF, Conn: s.conn})
 	default:
+		data := buf[:n]
+		if l.bufferInUse {
+			data = bytes.Clone(data)
+		}
 		l.bufferInUse = true
-		l.reportPassed(s, buf[:n], passed)
-		if s.peerShutdown || s.urgent && n == len(buf) {
+		l.reportPassed(s, data, passed)
+		if s.peerShutdown || s.urgent && n == limit {
 			l.queueEvent(Event{Kind: readMore, Conn: s.conn})
 		}
 	}
 }
 
+// secondBuffer returns the buffer for reads while the first one holds data that is not yet delivered.
+func (l *Loop) secondBuffer() []byte {
+	if l.spareBuffer == nil {
+		l.spareBuffer = make([]byte, ReadSize)
+	}
+	return l.spareBuffer
+}
+
 // write sends as much of data as the kernel takes now and keeps the remainder until the socket is writable.
 func (l *Loop) write(s *socket, data []byte) {
 	if len(s.unwritten) > 0 {
