--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -98,7 +98,7 @@
 	class := &b.classes.entries[request.Class]
 	r := b.requests.add(request)
 	r.arrivedAt = now - request.Elapsed
-	r.firstTriedAt, r.deadline = r.arrivedAt, r.arrivedAt+request.ClientTimeout
+	r.firstTriedAt, r.deadline = r.arrivedAt, r.arrivedAt+request.ClientTimeout-request.AcceptWait
 	sinceFirstTry := class.timeouts.observe(request.ClientTimeout, class.Deadline)
 	// Where clients mark their retries, a first try with a short timeout does not count as a retry.
 	if request.Retry || !b.cfg.ClientsMarkRetries {
--- a/internal/balancer/rejection_test.go
+++ b/internal/balancer/rejection_test.go
@@ -1,6 +1,9 @@
 package balancer
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // A keyed request that may have run may be rejected if all endpoints drop duplicates, but not with a smaller dedup
 // scope.
@@ -47,3 +50,27 @@
 		t.Errorf("Retry-After %v although the settings allow none", got)
 	}
 }
+
+// Guards against a request that is held beyond its client's timeout because its connection had waited to be accepted, and
+// against shedding it for that wait alone.
+func TestAcceptWaitCountsAgainstTheClientTimeoutAlone(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		acceptWait time.Duration
+		after      time.Duration // when a free endpoint appears
+		rejected   bool
+	}{
+		{"time left", 900 * millisecond, 300 * millisecond, false},
+		{"over", 1900 * millisecond, 300 * millisecond, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, testConfig())
+			r.b.RequestArrived(r.now, Request{ID: 1, Class: 0, ClientTimeout: 2000 * millisecond, AcceptWait: c.acceptWait})
+			r.b.Dispatch(r.now)
+			r.advance(c.after)
+			if rejected := len(r.takeActions("reject")) == 1; rejected != c.rejected {
+				t.Errorf("rejected %v after %v, want %v", rejected, c.after, c.rejected)
+			}
+		})
+	}
+}
--- a/internal/gateway/downstream_request.go
+++ b/internal/gateway/downstream_request.go
@@ -100,12 +100,15 @@
 		d.uploads.begin(req, conn)
 	}
 	d.dispatchNeeded = true
+	sentAt := req.deadline - parsed.ClientTimeout
+	acceptWait := max(0, conn.AcceptedAt-sentAt)
 	d.balancer.RequestArrived(d.now, balancer.Request{
 		ID:            req.id,
 		Class:         parsed.Class.Index,
 		ClientTimeout: parsed.ClientTimeout,
 		Retry:         parsed.Retry,
-		Elapsed:       d.now + parsed.ClientTimeout - req.deadline,
+		Elapsed:       d.now - sentAt - acceptWait,
+		AcceptWait:    acceptWait,
 	})
 }
 
