Drills: do not take one change for two because its age is rounded differently

Cause: the views of the run show one change, the first knowledge of gateway-33 at 1.1292 s, 2 ms before its upgrade at 1.1314 s; its previous state is the empty one, shown as left. One observation of 10.9 s put its time after the upgrade: time and age are taken in two processes, and ages are whole milliseconds. Change: two times of a change that differ by 10 ms or less are one change. Nobody left: the gateway's log has no leave, and no view another state. Result: the new case of TestEachRuleDetectsItsViolationOnly failed before; all others hold as they are, among them a leave between two observations.

--- a/internal/lab/membershipcheck/rules_identity.go
+++ b/internal/lab/membershipcheck/rules_identity.go
@@ -23,6 +23,10 @@
 	})
 }
 
+// sinceTolerance is by how much two observations of one change may differ: each is the time of an answer less an age in
+// whole milliseconds.
+const sinceTolerance = 10 * time.Millisecond
+
 func upgradeNoticed(h *History, report reporter) {
 	for i := range h.processes {
 		next := &h.processes[i]
@@ -42,7 +46,7 @@
 				report(current.At, current.Gateway, "holds %s, which was upgraded, for %s under start %d after %d",
 					h.names[m], now.State, now.Start, before.Start)
 			case now.State == "alive" && now.Since > next.start && now.Since < next.start+upgradeTime &&
-				before.Since <= next.start && !h.excused(m, now, next.start):
+				before.Since <= next.start && now.Since-before.Since > sinceTolerance && !h.excused(m, now, next.start):
 				report(current.At, current.Gateway, "held %s, which was upgraded, for something else between two looks (%s)",
 					h.names[m], now.Previous)
 			}
--- a/internal/lab/membershipcheck/rules_test.go
+++ b/internal/lab/membershipcheck/rules_test.go
@@ -185,6 +185,16 @@
 			correctedAfterUpgrade(h, "suspect", "gateway-3")
 		}},
 		{"an upgrade without a change in any view", "", upgrade},
+		{"a change just before an upgrade, whose age is rounded differently in two observations", "", func(h *History) {
+			upgrade(h)
+			for at := second; at <= 30*second; at += second {
+				since := 10*second - 2*time.Millisecond
+				if at == 14*second {
+					since += 4 * time.Millisecond
+				}
+				editObservations(h, 1, at, at, func(l *Observation) { l.Members[2].Since = since })
+			}
+		}},
 		{"a gateway removes another after it was stopped", WronglyRemoved, func(h *History) {
 			h.RecordStop(2, 8*second, true)
 			h.RecordStop(2, 18*second, false)
