Pass on an answer that has begun when its endpoint is ejected

Cause: no answer of the endpoint was complete for a while, so it was ejected as silent, and an ejection cancels the attempts in flight (end called off), also one whose response was arriving. Change: an incomplete 200 of unknown length is passed on in place of the cancel. No rig could play such hosts before.

--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -65,10 +65,13 @@
 		return
 	}
 	for _, att := range req.running {
-		if att.number == attempt {
+		if att.number != attempt {
+			continue
+		}
+		if !a.attempts.passOnIncomplete(att) { // an endpoint that is writing its answer does not hang
 			a.attempts.end(att, ReasonCancelled, nil)
-			return
 		}
+		return
 	}
 }
 
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -127,11 +127,23 @@
 // passOn begins to pass on a response that is still incomplete. A response that does not serve the request must be
 // complete by the end of the attempt.
 func (a *attemptTable) passOn(att *attempt) {
-	if head := att.conn.Partial(); head != nil && head.Status == statusOK {
-		a.relays.begin(att, head)
-		return
+	if !a.passOnIncomplete(att) {
+		a.setTimer(timerAttempt, att.id, att.deadline)
+	}
+}
+
+// passOnIncomplete begins to pass on the response of an attempt if it is incomplete, of unknown length, and serves the
+// request. It returns false otherwise.
+func (a *attemptTable) passOnIncomplete(att *attempt) bool {
+	if att.conn == nil || att.conn.Phase != upstream.Awaiting || !att.conn.LengthUnknown() {
+		return false
+	}
+	head := att.conn.Partial()
+	if head.Status != statusOK {
+		return false
 	}
-	a.setTimer(timerAttempt, att.id, att.deadline)
+	a.relays.begin(att, head)
+	return true
 }
 
 // premature reports whether a response claims that the endpoint has served a request whose last byte is not yet written.
--- a/internal/lab/mutationtest/gateway.go
+++ b/internal/lab/mutationtest/gateway.go
@@ -61,6 +61,8 @@
 			"	return !rules.Repeatable() && i.used", "	return rules.Deadline > 0 && i.used"),
 		singleEdit("pass no ids to a successor", hoardersProfile, "internal/gateway/hotrestart_predecessor.go",
 			"		IDs:             h.ids.encoded(),\n", ""),
+		singleEdit("hold an answer of unknown length back", slowHostsProfile, "internal/gateway/upstream.go",
+			"			a.passOnLater(att)\n", "			_ = att\n"),
 		singleEdit("reuse a connection at once", lateResponsesProfile, "internal/upstream/quiettime.go",
 			"	return MinQuietTime\n", "	return 0\n"),
 		singleEdit("take bytes of the quiet time for a response", lateResponsesProfile, "internal/gateway/upstream.go",
--- a/internal/lab/mutationtest/main.go
+++ b/internal/lab/mutationtest/main.go
@@ -27,6 +27,7 @@
 	lateResponsesProfile  = "late-responses"  // hosts send bytes after their responses
 	slowPeersProfile      = "slow-peers"      // clients and hosts that read or write slowly, leave or flood
 	hoardersProfile       = "hoarders"        // clients for which much must be kept, and ids that come again
+	slowHostsProfile      = "slow-hosts"      // hosts that write long answers slowly
 	rolloutsProfile       = "rollouts"        // simulates the configuration distribution instead of whole gateways
 )
 
--- a/internal/lab/simulation/answers.go
+++ b/internal/lab/simulation/answers.go
@@ -39,6 +39,7 @@
 	if status == 200 {
 		body = trimPadding(body, c.req.Pad)
 	}
+	c.checkSlowAnswer(status)
 	if (status == 400 || status == 404 || status == 405 || status == 413) &&
 		(c.req.Behaviour == "" || c.req.Behaviour == "trickle") {
 		c.run.addFinding(ValidRequestRefused, c.id, "a good request got %d", status)
--- a/internal/lab/simulation/clients.go
+++ b/internal/lab/simulation/clients.go
@@ -29,12 +29,13 @@
 	reused       bool // the connection carried a request before
 	inbox        []byte
 	ended        bool
-	sent         bool   // the last byte of the request is written
-	resent       bool   // the request was sent a second time because the connection closed without reading it
-	awaitedReset bool   // the client has waited for the reset that may follow a close
-	repeated     bool   // the client has left before and sends the same id again
-	unsafeViews  bool   // the client used settings in which the class tender-view is unsafe (not idempotent)
-	pending      []byte // rest of a large request, not yet accepted by the connection
+	sentAt       time.Duration // when the last byte of the request was written
+	sent         bool          // the last byte of the request is written
+	resent       bool          // the request was sent a second time because the connection closed without reading it
+	awaitedReset bool          // the client has waited for the reset that may follow a close
+	repeated     bool          // the client has left before and sends the same id again
+	unsafeViews  bool          // the client used settings in which the class tender-view is unsafe (not idempotent)
+	pending      []byte        // rest of a large request, not yet accepted by the connection
 }
 
 // startRequest starts one attempt at request n of the plan, on an idle connection or on a new one.
@@ -265,9 +266,11 @@
 func (c *client) markSent() {
 	c.sent = true
 	now := c.run.sim.Now()
+	c.sentAt = now
 	c.run.clients.Update(c.id, func(t *requestrecord.Attempt) { t.FullyWritten, t.Sent = true, now })
 	c.run.sim.After(msec(c.req.TimeoutMS)+timeoutSlack, func() {
-		if !c.isReadingSlowly() {
+		if !c.isReadingSlowly() && !c.isGettingSlowAnswer() {
+			c.checkSlowAnswer(0)
 			c.finish("silence")
 		}
 	})
--- a/internal/lab/simulation/draw.go
+++ b/internal/lab/simulation/draw.go
@@ -238,6 +238,8 @@
 		d.drawSlowPeer(&r)
 	case hoardersProfile:
 		d.drawHoarder(&r)
+	case slowHostsProfile:
+		d.drawSlowAnswer(&r)
 	}
 	return r
 }
--- a/internal/lab/simulation/hostfaults.go
+++ b/internal/lab/simulation/hostfaults.go
@@ -40,6 +40,9 @@
 	case "host-deaf":
 		h.deaf = true
 		undo(func() { h.hearAgain() })
+	case "host-drip":
+		h.writesSlowly = true
+		undo(func() { h.writesSlowly = false })
 	case "host-silent":
 		h.setSilent(true)
 		undo(func() { h.setSilent(false) })
--- a/internal/lab/simulation/hosts.go
+++ b/internal/lab/simulation/hosts.go
@@ -51,6 +51,7 @@
 	waiting         map[uint64]*hostConn // connections whose request is being served, by the model's token
 	timerNumber     uint64               // number of the current timer; earlier ones are ignored
 	deaf            bool                 // it reads nothing from its connections
+	writesSlowly    bool                 // it writes long answers in chunks at slowRate
 	silent          bool                 // its machine neither sends nor receives
 	up              bool
 	faultShares     map[string]float64 // share of faulty responses, by kind of fault
@@ -283,6 +284,10 @@
 		h.run.sim.After(20*time.Millisecond, func() { c.end.Close(); h.drop(c) })
 		return
 	}
+	if h.writesSlowly && c.pad > 0 && c.chunks && r.Kind == hostmodel.Served {
+		h.writeSlowly(c, r.ID, out)
+		return
+	}
 	h.write(c, out)
 	h.sendLate(c, out)
 	h.run.sim.After(0, func() { h.onReadable(c) })
--- a/internal/lab/simulation/profiles.go
+++ b/internal/lab/simulation/profiles.go
@@ -47,7 +47,8 @@
 			"net-split", "net-jitter", "surge", "gateway-term", "gateway-upgrade"},
 		hoardersProfile: {"rude-hoard", "rude-again", "bulk", "host-hang", "host-errors", "net-split", "net-jitter", "surge",
 			"gateway-upgrade"},
-		"reload": {"gateway-reload", "host-drain", "host-replace", "discovery-down", "gateway-term"},
+		slowHostsProfile: {"bulk", "host-drip", "host-drip", "host-drip", "net-split", "net-jitter", "surge"},
+		"reload":         {"gateway-reload", "host-drain", "host-replace", "discovery-down", "gateway-term"},
 		"everything": slices.Concat(hosts, spoils, gateways, disc, rude, net, []string{"surge", "host-cold",
 			"gateway-reload"}),
 	}
@@ -85,7 +86,7 @@
 func drawnByDefault(profile string) bool {
 	return profile != fleetProfile && profile != discoveryLoadProfile && profile != stoppedProfile &&
 		profile != clockProfile && profile != lateProfile && profile != slowPeersProfile &&
-		profile != hoardersProfile
+		profile != hoardersProfile && profile != slowHostsProfile
 }
 
 // Profiles returns the names of the profiles in order.
--- a/internal/lab/simulation/simulator.go
+++ b/internal/lab/simulation/simulator.go
@@ -86,6 +86,7 @@
 	checkers    []checkedGateway
 	slowReaders []*client
 	leftAt      map[string]time.Duration // when clients left, by id
+	slowAnswers map[string]time.Duration // when hosts began answers that they write slowly, by id
 }
 
 // Play runs a plan. trace receives a line for each note; it may be nil.
@@ -107,7 +108,8 @@
 func newSimulator(p Plan, trace io.Writer, wrap func(loop.Reducer) loop.Reducer) *simulator {
 	sim := NewSim(p.Seed, trace)
 	s := &simulator{plan: p, sim: sim, net: NewNet(sim), clients: requestrecord.NewClientRecord(),
-		statuses: make(map[int]int), file: buildExperiment(p), wrap: wrap, leftAt: make(map[string]time.Duration)}
+		statuses: make(map[int]int), file: buildExperiment(p), wrap: wrap, leftAt: make(map[string]time.Duration),
+		slowAnswers: make(map[string]time.Duration)}
 	s.net.Latency, s.net.Jitter = time.Duration(p.LatencyUS)*time.Microsecond,
 		time.Duration(p.JitterUS)*time.Microsecond
 	return s
--- a/internal/lab/simulation/simulator_test.go
+++ b/internal/lab/simulation/simulator_test.go
@@ -85,6 +85,9 @@
 // Clients that send all but the last byte, and clients that leave and come again with their id, at the least memory.
 func TestHoardersHoldTheRules(t *testing.T) { playSeeds(t, hoardersProfile, 24, 4) }
 
+// Hosts that write long answers in chunks at 64 kB a second.
+func TestSlowHostsHoldTheRules(t *testing.T) { playSeeds(t, slowHostsProfile, 16, 4) }
+
 // playSeeds plays the first seeds of a profile and verifies that at least one in servedOneIn attempts was served.
 func playSeeds(t *testing.T, profile string, seeds uint64, servedOneIn int) {
 	for seed := range seeds {
