Load tool: a connection that ends before the write of its request is unread

Cause: the gateway closes connections that are idle after one request once there are many, and a close that crosses a request is answered with a reset. The tool looked for the reset when it had read the end of the connection, which may be before its own write; then it took the request for read. Change: an end that is read before the write begins means unread; otherwise the tool looks for the reset after the write.

--- a/internal/lab/load/attempt.go
+++ b/internal/lab/load/attempt.go
@@ -78,7 +78,10 @@
 		_ = conn.Close()
 		return attemptResult{}, false // the connection ended before anything was written to it
 	}
-	if err := g.write(conn, a.id, a.class, a.request, a.number, a.clientTimeout); err != nil {
+	writeEnded := conn.beginWrite()
+	err = g.write(conn, a.id, a.class, a.request, a.number, a.clientTimeout)
+	writeEnded()
+	if err != nil {
 		_ = conn.Close()
 		resp := <-responses
 		if reused && resends == 0 {
--- a/internal/lab/load/link.go
+++ b/internal/lab/load/link.go
@@ -77,8 +77,9 @@
 	raw           net.Conn // the socket itself, not wrapped in a countedConn
 	now           func() time.Duration
 	onUnsolicited func(id, text string) // called with lastID and the start of bytes that no request expects
-	mu            sync.Mutex            // guards waiter, lastID and closed
+	mu            sync.Mutex            // guards waiter, written, lastID and closed
 	waiter        chan response         // receives the expected response; nil if none is expected
+	written       chan struct{}         // closed once the expected request is written; nil before the write begins
 	lastID        string                // the id of the last request
 	closed        bool
 	served        int // requests that got a response on this connection
@@ -124,10 +125,20 @@
 	if c.closed {
 		return nil
 	}
-	c.waiter, c.lastID = make(chan response, 1), id
+	c.waiter, c.written, c.lastID = make(chan response, 1), nil, id
 	return c.waiter
 }
 
+// beginWrite records that the write of the expected request begins. The caller calls the function that it returns when the
+// write has ended.
+func (c *clientConn) beginWrite() (ended func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	written := make(chan struct{})
+	c.written = written
+	return func() { close(written) }
+}
+
 // maxResponseBody is the number of bytes read of a response's body.
 const maxResponseBody = 1 << 20
 
@@ -150,7 +161,7 @@
 				resp, err = c.readResponse(in)
 			}
 		} else {
-			resp.unread = c.closedUnread(err)
+			resp.unread = c.closedBeforeWrite() || c.closedUnread(err)
 		}
 		resp.err, resp.receivedAt = err, c.now()
 		c.mu.Lock()
@@ -168,6 +179,23 @@
 	}
 }
 
+// closedBeforeWrite reports whether the connection, whose end has just been read, ended before the write of the expected
+// request began. If it did not, closedBeforeWrite waits for the end of the write, which the kernel answers with a reset if
+// the peer has closed.
+func (c *clientConn) closedBeforeWrite() bool {
+	c.mu.Lock()
+	written := c.written
+	if c.waiter == nil {
+		c.closed = true // no request may be written any more
+	}
+	c.mu.Unlock()
+	if written == nil {
+		return true
+	}
+	<-written
+	return false
+}
+
 // closedUnread reports whether a connection that ended before any byte of a response was closed before its peer
 // read the request. On loopback a reset indicates this: the kernel sends one when the socket is closed with
 // unread bytes, or when bytes arrive after the close. A clean end without a reset may come from a process that
--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -492,3 +492,36 @@
 		t.Error("a target is said to accept connections, but both are about to end")
 	}
 }
+
+// Guards against taking a request for lost whose connection the gateway had closed before the request was written.
+func TestConnectionThatEndsBeforeTheWriteIsUnread(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	for _, written := range []bool{false, true} {
+		raw, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		peer, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn := newClientConn(raw, func() {}, func() time.Duration { return 0 }, func(string, string) {})
+		responses := conn.expectResponse("a")
+		ended := func() {}
+		if written {
+			ended = conn.beginWrite()
+		}
+		peer.Close()
+		if written {
+			_, _ = raw.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+		}
+		ended()
+		if resp := <-responses; resp.err == nil || !resp.unread {
+			t.Errorf("write begun %v: error %v, unread %v, want an error and unread", written, resp.err, resp.unread)
+		}
+	}
+}
