Look at all sockets before a request that was sent far ahead is forwarded

Cause: the end of the client's sending is behind bytes that wait in its own kernel. The first answer meets a reset, but the next request was admitted and dispatched in the same turn of the loop. Change: a connection whose client has sent more than is read ahead continues only after the dispatch of the turn; the reset arrives before the next dispatch. It waits with limits now.

--- a/cmd/thymebend/departed_test.go
+++ b/cmd/thymebend/departed_test.go
@@ -45,10 +45,29 @@
 	var done sync.WaitGroup
 	for i := range 8 {
 		c := g.dial()
-		done.Go(func() { roundTrip(g.t, c, viewRequest(fmt.Sprint("warm-", i), 1900)) })
+		done.Go(func() { roundTrip(g.t, c, viewRequest(fmt.Sprint("warm-", i), 25000)) })
 	}
 	done.Wait()
 	time.Sleep(laterRequestsGrace) // beyond the quiet time of the connections
+	waitFor(g.t, "a request to be served", func() bool {
+		status, _, _ := roundTrip(g.t, g.dial(), viewRequest("warm", 25000))
+		return status == 200
+	})
+}
+
+// patientBid returns a bid whose client waits for 25 s.
+func patientBid(id string) string {
+	return strings.Replace(lodgeRequest(id, "x"), "2500m", "25000m", 1)
+}
+
+// nextID returns the id of the next request that reaches the endpoint, or "" if none does in time.
+func nextID(received chan string, timeout time.Duration) string {
+	select {
+	case id := <-received:
+		return id
+	case <-time.After(timeout):
+		return ""
+	}
 }
 
 // Guards against forwarding the requests that a client sent ahead and left, behind more bytes than the buffers take.
@@ -56,27 +75,24 @@
 	endpoint, received, proceed := holdingEndpoint(t, "first")
 	g := start(t, map[string]any{"settings": longDeadlineSettings()}, endpoint)
 	g.warmUp()
-	c := g.dial()
 	var ahead strings.Builder
-	ahead.WriteString(lodgeRequest("first", "x"))
+	ahead.WriteString(patientBid("first"))
 	for i := 0; ahead.Len() < pipelineSize; i++ {
-		ahead.WriteString(lodgeRequest(fmt.Sprint("ahead-", i), "x"))
+		ahead.WriteString(patientBid(fmt.Sprint("ahead-", i)))
 	}
+	c := g.dial()
 	_ = c.SetWriteDeadline(time.Now().Add(pipelineWriteLimit))
-	patient := strings.ReplaceAll(ahead.String(), "2500m", "25000m")
-	if n, err := io.WriteString(c, patient); err == nil {
-		t.Fatalf("%d bytes were written, want full buffers", n)
+	if n, err := io.WriteString(c, ahead.String()); err == nil || n == 0 {
+		t.Fatalf("%d of %d bytes were written, want full buffers", n, ahead.Len())
 	}
-	if id := <-received; id != "first" {
+	if id := nextID(received, testTimeout); id != "first" {
 		t.Fatalf("the endpoint got %q, want the first request", id)
 	}
 	c.Close()
 	time.Sleep(laterRequestsGrace) // the gateway has time to notice the close
 	close(proceed)
-	select {
-	case id := <-received:
+	if id := nextID(received, laterRequestsGrace); id != "" {
 		t.Errorf("the endpoint got %q of a client that had left", id)
-	case <-time.After(laterRequestsGrace):
 	}
 }
 
@@ -89,7 +105,9 @@
 	if _, err := io.WriteString(c, lodgeRequest("bid", "x")); err != nil {
 		t.Fatal(err)
 	}
-	<-received
+	if id := nextID(received, testTimeout); id != "bid" {
+		t.Fatalf("the endpoint got %q, want the bid", id)
+	}
 	c.Close()
 	waitFor(t, "the gateway to notice the client's close", func() bool { return g.hasLogged(`"end":"client gone"`) })
 	if status, _, _ := roundTrip(t, g.dial(), lodgeRequest("bid", "x")); status != 400 {
@@ -98,7 +116,7 @@
 	if status, _, _ := roundTrip(t, g.dial(), lodgeRequest("another", "x")); status != 200 {
 		t.Errorf("another id: status %d, want 200", status)
 	}
-	if id := <-received; id != "another" {
+	if id := nextID(received, testTimeout); id != "another" {
 		t.Errorf("the endpoint got %q again", id)
 	}
 }
@@ -117,7 +135,9 @@
 			if _, err := io.WriteString(c, lodgeRequest("bid", "x")); err != nil {
 				t.Fatal(err)
 			}
-			<-received
+			if id := nextID(received, testTimeout); id != "bid" {
+				t.Fatalf("the endpoint got %q, want the bid", id)
+			}
 			next, control := g.upgrade()
 			waitFor(t, "the successor to be ready", func() bool { return ready(t, control) })
 			if left {
@@ -130,7 +150,7 @@
 			if status, _, _ := roundTrip(t, next.dial(), lodgeRequest("another", "x")); status != 200 {
 				t.Errorf("another id: status %d, want 200", status)
 			}
-			if id := <-received; id != "another" {
+			if id := nextID(received, testTimeout); id != "another" {
 				t.Errorf("the endpoint got %q again", id)
 			}
 		})
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -80,6 +80,8 @@
 	RequestStart time.Duration
 	// TimerAt is when the gateway next checks the connection's timeouts; 0 if no timer is set.
 	TimerAt time.Duration
+	// Postponed reports that the connection continues with its next request only at the end of the turn.
+	Postponed bool
 	// OwnAnswers counts the gateway's own answers on the connection in a turn of the loop.
 	OwnAnswers OwnAnswers
 	// WriteProgress records whether the client takes what was written to it.
@@ -137,6 +139,10 @@
 // PipelineFull reports whether the client has sent more bytes ahead of a response than the connection may hold.
 func (c *Conn) PipelineFull() bool { return c.reader.Buffered() > min(MaxPipelined, c.allowance) }
 
+// SentFarAhead reports whether the client has sent more than the gateway reads ahead of a response: the end of its sending
+// may be behind unread bytes, and is not visible.
+func (c *Conn) SentFarAhead() bool { return c.ReadingPaused && c.Pending() }
+
 // SetAllowance sets the memory that the connection may use for received bytes, in bytes, until the next call.
 func (c *Conn) SetAllowance(bytes int) { c.allowance = bytes }
 
--- a/internal/gateway/downstream.go
+++ b/internal/gateway/downstream.go
@@ -208,10 +208,11 @@
 	if !conn.Busy || conn.RequestID != 0 || conn.WriteClosed {
 		return
 	}
-	if !conn.Closing && conn.OwnAnswers.UsedUp(d.turn) {
+	if !conn.Closing && (conn.OwnAnswers.UsedUp(d.turn) || conn.SentFarAhead() && !conn.Postponed) {
 		d.postpone(conn)
 		return
 	}
+	conn.Postponed = false
 	conn.Busy, conn.IdleSince = false, d.now
 	if conn.Closing {
 		// Only the sending side is closed for now: closing with unread bytes would reset the connection, and
--- a/internal/gateway/downstream_turns.go
+++ b/internal/gateway/downstream_turns.go
@@ -5,9 +5,12 @@
 	"thymebend/internal/loop"
 )
 
-// postpone leaves a connection that has used its share of the turn to the next one, in which all other sockets are served
-// first: a client that pipelines requests which the gateway answers itself must not keep the loop from other clients.
+// postpone leaves a connection to the end of the turn, after the dispatch. The next turn looks at all sockets before it
+// dispatches again. So a client that pipelines requests which the gateway answers itself does not keep the loop from other
+// clients; and if a client has left, the reset that its machine sends on an answer arrives before its next request is
+// forwarded.
 func (d *downstreamConns) postpone(conn *downstream.Conn) {
+	conn.Postponed = true
 	d.postponed = append(d.postponed, conn.ID)
 	d.emit(loop.Effect{Op: loop.RequestTurn})
 }
