--- a/internal/balancer/api.go
+++ b/internal/balancer/api.go
@@ -22,8 +22,9 @@
 	Retry         bool // marked by the client as a retry
 	// Elapsed is the part of the client timeout that had passed before the gateway could accept the request.
 	Elapsed time.Duration
-	// AcceptWait is a further part, before Elapsed, in which the client's connection waited to be accepted. It counts
-	// against the client's timeout alone: the requests of a crowd would otherwise all be shed for the wait that they share.
+	// AcceptWait is a further part, before Elapsed, in which the client's connection waited to be accepted.
+	// It counts against the client's timeout alone: the requests of a crowd would otherwise all be shed for
+	// the wait that they share.
 	AcceptWait time.Duration
 }
 
