--- a/cmd/thymebend/overload_test.go
+++ b/cmd/thymebend/overload_test.go
@@ -162,7 +162,7 @@
 		t.Errorf("%d descriptors, error %v, want 135 at most", len(fds), err)
 	}
 	began := time.Now()
-	if status, _, _ := roundTrip(t, g.dial(), viewRequest("behind", 1500)); status != 200 {
+	if status, _, _ := roundTrip(t, g.dial(), viewRequest("behind", 2400)); status != 200 {
 		t.Errorf("the request after the stalled ones: status %d, want 200", status)
 	}
 	if took := time.Since(began); took > 2400*time.Millisecond {
