--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -5,6 +5,7 @@
 
 	"thymebend/internal/balancer"
 	"thymebend/internal/downstream"
+	"thymebend/internal/http1"
 	"thymebend/internal/loop"
 	"thymebend/internal/upstream"
 )
@@ -112,10 +113,12 @@
 }
 
 // An incomplete response of unknown length is passed on this long after its begin, and passOnMargin before the end of its
-// attempt at the latest: it may be a long one, of which only the first bytes must arrive within the client's timeout.
+// attempt at the latest, if minPassOn bytes of its body have come: it may be a long one, of which only the first bytes must
+// arrive within the client's timeout. One of which less has come may be one that never ends.
 const (
 	passOnAfter  = time.Second
 	passOnMargin = 100 * time.Millisecond
+	minPassOn    = http1.MaxBufferedBody / 8 // bytes
 )
 
 // passOnLater sets the time at which the response of an attempt is passed on if it is still incomplete.
@@ -139,7 +142,7 @@
 		return false
 	}
 	head := att.conn.Partial()
-	if head.Status != statusOK {
+	if head.Status != statusOK || att.conn.Decoded() < minPassOn {
 		return false
 	}
 	a.relays.begin(att, head)
--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -102,6 +102,9 @@
 	return n > 0
 }
 
+// Decoded returns the number of bytes of the current message's body that are decoded and not yet returned.
+func (r *Reader) Decoded() int { return len(r.payload) }
+
 // Full reports whether as much of the body is decoded as may be buffered.
 func (r *Reader) Full() bool { return len(r.payload) >= MaxBufferedBody }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -75,6 +75,9 @@
 	return nil
 }
 
+// Decoded returns the number of bytes of the incomplete response's body that have been received.
+func (c *Conn) Decoded() int { return c.reader.Decoded() }
+
 // LengthUnknown reports whether the head of a response has been received that does not state the length of its body.
 func (c *Conn) LengthUnknown() bool { return c.reader.LengthUnknown() }
 
