--- a/review/_standins2/rig.go
+++ b/review/_standins2/rig.go
@@ -363,7 +363,11 @@
 		return 2
 	}
 	defer record.Close()
-	dir, err := os.MkdirTemp("", "r2-")
+	base := ""
+	if len(os.TempDir()) > 50 {
+		base = "bin" // the path of the socket of an upgrade may have 107 bytes
+	}
+	dir, err := os.MkdirTemp(base, "r2-")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
