Review: the stand-ins of the second review lie under testdata

TestDocsShowEveryPackage wants each package on the page of the architecture, and takes a folder whose name begins with _ for one; testdata is left out.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p bin
-go build -o bin/review2 ./review/_standins2
+go build -o bin/review2 ./review/testdata/lab2
