--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,15 @@
+#!/bin/sh
+# Plays case 8: SIGTERM to a gateway some of whose clients send several requests at once on a connection. Exits with 1 if the
+# rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves out SIGTERM. Needs the build of the deploy
+# file and review/build-2.sh.
+here=$(cd "$(dirname "$0")" && pwd) || exit 2
+root=$(cd "$here/../.." && pwd) || exit 2
+test -x "$root/bin/thymebend" && test -x "$root/bin/review-ahead" || {
+	echo "run the build of the deploy file and review/build-2.sh first" >&2
+	exit 2
+}
+dir=$(mktemp -d) || exit 2
+trap 'rm -rf "$dir"' EXIT
+trouble=true
+test "${TROUBLE:-1}" = 0 && trouble=false
+"$root/bin/review-ahead" -root "$root" -dir "$dir" -record "$here/record.txt" -trouble=$trouble stop
