--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -10,6 +10,12 @@
 }
 dir=$(mktemp -d) || exit 2
 trap 'rm -rf "$dir"' EXIT
+trap 'test -z "$play" || kill "$play"; wait; exit 2' TERM INT HUP
 trouble=true
 test "${TROUBLE:-1}" = 0 && trouble=false
-"$root/bin/review-ahead" -root "$root" -dir "$dir" -record "$here/record.txt" -trouble=$trouble stop
+timeout -k 5 110 "$root/bin/review-ahead" -root "$root" -dir "$dir" -record "$here/record.txt" -trouble=$trouble stop &
+play=$!
+wait "$play"
+result=$?
+test $result -le 1 || result=2
+exit $result
