--- a/review/testdata/ahead/kit.go
+++ b/review/testdata/ahead/kit.go
@@ -18,6 +18,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -61,6 +62,7 @@
 	ln      net.Listener
 	service func(a arrival) time.Duration
 	rec     *record
+	slow    atomic.Bool // reads requests slowly
 
 	mu       sync.Mutex
 	answer   func(c net.Conn, a arrival) error // writes the answers, if it is not nil
@@ -99,7 +101,7 @@
 		delete(h.conns, c)
 		h.mu.Unlock()
 	}()
-	in := bufio.NewReader(c)
+	in := h.requestReader(c)
 	for {
 		if _, err := in.Peek(1); err != nil {
 			return
@@ -109,7 +111,7 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		if discard(r) != nil {
 			return
 		}
 		a := arrival{host: h.name, id: r.Header.Get("X-Trace-Id"), method: r.Method, target: r.RequestURI, first: first, last: since()}
--- a/review/testdata/ahead/main.go
+++ b/review/testdata/ahead/main.go
@@ -10,7 +10,7 @@
 // A play plays a case, with or without its disruption, and returns how the rule was broken.
 type play func(rec *record, root, dir string, trouble bool) (broken []string, err error)
 
-var plays = map[string]play{"stop": playStop, "long": playLongAnswers}
+var plays = map[string]play{"stop": playStop, "long": playLongAnswers, "slow": playSlowHosts}
 
 // Exit codes of a case.
 const (
