Uploads: a client counts as able to send only by the kernel's memory

Cause: while a body is not read its last byte may wait in the client's kernel. The receive buffer was taken to be full from a third of SO_RCVBUF in unread bytes, but the kernel goes by memory and charges a segment until its last byte is read: 15,360 bytes unread, 147,264 of 147,883 bytes of memory used, the same at 31 looks in 3.3 s. The client counted as free to send and silent, so its time began anew at each look. A pause of the gateway and its own reading time counted as evidence as well.

Change: the loop reports SO_MEMINFO; bodyClock moves the earliest time of the last byte only on evidence that the client was able to send and had not sent all. The buffer is looked at before each read and at each pause of an upload. Debug lines tell when a client may be kept from sending.

--- a/internal/downstream/arrivals.go
+++ b/internal/downstream/arrivals.go
@@ -16,10 +16,6 @@
 // the earlier time.
 const maxMarks = 256
 
-// clientSendBuffer is an upper bound of the bytes that a client has written and that its kernel has not yet sent, because
-// the receive buffer of the gateway's machine is full.
-const clientSendBuffer = 4 << 20
-
 // maxUnread is an upper bound of the bytes that a client has written and that the gateway has not yet read.
 const maxUnread = clientSendBuffer + 256<<10
 
@@ -131,28 +127,26 @@
 }
 
 // RemainingTimeout returns the remaining time of the request's client timeout. The timeout does not start before the
-// whole body has been received, unless the remainder of the body may already be waiting in the kernel's receive buffer
-// because reading was paused: it then starts at the earliest time at which that remainder may have been sent.
+// whole body has been received, unless the remainder of the body may already be waiting in the kernel's buffers because
+// reading was paused: it then starts at the earliest time at which that remainder may have been sent.
 func (c *Conn) RemainingTimeout(now, clientTimeout time.Duration) time.Duration {
-	switch {
-	case c.Upload && c.reader.Complete():
-		return c.arrivals.sentAt(c.arrivals.bytesReceived) + clientTimeout - now
-	case c.Upload && c.arrivals.backlog.pending(now):
-		return c.arrivals.backlog.since + clientTimeout - now
-	case c.Upload:
-		return clientTimeout
+	if !c.Upload {
+		return c.LastByteSent() + clientTimeout - now
+	}
+	remaining := clientTimeout
+	if deadline, begun := c.UploadDeadline(clientTimeout); begun {
+		remaining = min(remaining, deadline-now)
+	}
+	if !c.reader.Complete() && c.arrivals.backlog.pending(now) {
+		remaining = min(remaining, c.arrivals.backlog.since+clientTimeout-now)
 	}
-	return c.LastByteSent() + clientTimeout - now
+	return remaining
 }
 
 // PauseReading records that the gateway stops reading the connection until ResumeReading.
 func (c *Conn) PauseReading(now time.Duration) {
-	continued := c.arrivals.backlog.pending(now)
 	c.ReadingPaused = true
 	c.arrivals.pause(now)
-	if !continued {
-		c.unread = unread{checkedAt: now, completeSince: c.arrivals.backlog.since}
-	}
 }
 
 // ObserveWait records that the client's bytes may have waited while the connection was not yet accepted: the last of the
@@ -163,54 +157,3 @@
 	}
 	c.arrivals.backlog = backlog{active: true, since: min(arrivedAt, now), nextSince: now}
 }
-
-// unread records what waits in the kernel's receive buffer of a connection whose reading is paused, while the buffer is
-// never emptied.
-type unread struct {
-	size          int
-	blocked       bool          // the client may have written more, which its kernel cannot send
-	checkedAt     time.Duration // when the size was last looked at, or when reading was first paused
-	completeSince time.Duration // the client cannot have written the last byte of its request before this time
-}
-
-// waiting returns how many bytes the client may have written that were not read.
-func (u unread) waiting() int {
-	if u.blocked {
-		return u.size + clientSendBuffer
-	}
-	return u.size
-}
-
-// ObserveUnread records that the given number of bytes now waits in the kernel's receive buffer, while reading is paused,
-// and whether the buffer may be so full that the client cannot send. A negative number is unknown.
-func (c *Conn) ObserveUnread(now time.Duration, size int, full bool) {
-	if size < 0 {
-		return
-	}
-	u := &c.unread
-	grown := size > u.size
-	if grown && !u.blocked {
-		u.completeSince = u.checkedAt
-	}
-	u.blocked = full && (u.blocked || !grown)
-	u.size, u.checkedAt = size, now
-	if (u.blocked || !full) && !c.reader.MayEndWithin(u.waiting()) {
-		u.completeSince = now
-	}
-}
-
-// BodySent returns the earliest time at which the client may have written the last byte of a streamed body that has been
-// received completely.
-func (c *Conn) BodySent() time.Duration { return max(c.LastByteSent(), c.unread.completeSince) }
-
-// UploadDeadline returns when the client's timeout ends for a request whose body is being streamed. It returns false while
-// the client has not yet sent the last byte, as far as is known: its timeout has then not begun.
-func (c *Conn) UploadDeadline(clientTimeout time.Duration) (deadline time.Duration, begun bool) {
-	switch {
-	case c.reader.Complete():
-		return max(c.arrivals.sentAt(c.arrivals.bytesReceived), c.unread.completeSince) + clientTimeout, true
-	case c.ReadingPaused && c.reader.MayEndWithin(c.unread.waiting()):
-		return c.unread.completeSince + clientTimeout, true
-	}
-	return 0, false
-}
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -103,23 +103,29 @@
 	// allowance is the memory that the connection may use for received bytes, in bytes.
 	allowance int
 
-	arrivals arrivals
-	unread   unread
-	reader   http1.Reader
-	large    *Incoming // the request being received whose body is too large to buffer
+	arrivals  arrivals
+	bodyClock bodyClock // of the body that is being streamed
+	reader    http1.Reader
+	large     *Incoming // the request being received whose body is too large to buffer
+	drained   bool      // the last read emptied the receive buffer
 }
 
 // Feed adds bytes received from the client now. They are copied.
 func (c *Conn) Feed(now time.Duration, data []byte) {
 	c.lastReceived = now
+	c.drained = len(data) < c.readLimit
 	c.arrivals.add(now, len(data), c.readLimit)
 	c.reader.Feed(data)
+	if c.Upload {
+		c.bodyClock.read(now, len(data), c.drained, &c.reader)
+	}
 }
 
 // BeginStream switches to streaming the body of the large request that Next has returned: from now on, the caller reads
 // its data as it arrives. length is the length of the body in bytes, or -1 if the client does not state it.
 func (c *Conn) BeginStream() (length int64) {
 	c.Upload = true
+	c.bodyClock.begin(c.LastByteSent(), c.drained, c.lastReceived)
 	return c.reader.BeginStream()
 }
 
--- a/internal/gateway/downstream.go
+++ b/internal/gateway/downstream.go
@@ -80,9 +80,7 @@
 		if !conn.HasRequested && e.Queues.LastReceivedAgo >= 0 {
 			conn.ObserveWait(d.now, d.now-e.Queues.LastReceivedAgo, e.Queues.Unread)
 		}
-		if conn.ReadingPaused {
-			conn.ObserveUnread(d.now, e.Queues.Unread, e.Queues.ReceiveFull)
-		}
+		d.uploads.observeUnread(conn, e.Queues)
 		d.writeChecked(conn, e.Queues.Undelivered)
 	}
 	if d.conns.ByConn[conn.ID] == conn {
--- a/internal/gateway/logfields.go
+++ b/internal/gateway/logfields.go
@@ -9,6 +9,7 @@
 	fieldAttempt           = "attempt" // index of an attempt, 0 for the first
 	fieldAttempts          = "attempts"
 	fieldBegin             = "begin" // the first bytes of received data
+	fieldBlocked           = "blocked"
 	fieldBytes             = "bytes"
 	fieldCause             = "cause"
 	fieldClass             = "class"
@@ -39,7 +40,9 @@
 	fieldPartlyRead        = "partly_read" // part of a request was read
 	fieldReason            = "reason"      // of a rejection, as in /ops/stats
 	fieldReceived          = "received"
-	fieldRequest           = "request" // this gateway's number of a request
+	fieldReceiveLimit      = "receive_limit"  // of the memory of a receive buffer, in bytes
+	fieldReceiveMemory     = "receive_memory" // memory of a receive buffer in use, in bytes
+	fieldRequest           = "request"        // this gateway's number of a request
 	fieldRequests          = "requests"
 	fieldRequestsBefore    = "requests_before" // earlier requests on the same connection
 	fieldRetryAfter        = "retry_after"
@@ -50,6 +53,7 @@
 	fieldStaleFor          = "stale_for" // how long the agent's list has been older than this gateway's
 	fieldStatus            = "status"
 	fieldTimeLeft          = "time_left"     // time remaining until the client's or the attempt's deadline
+	fieldUnread            = "unread"        // bytes in a receive buffer
 	fieldUpstreamConn      = "upstream_conn" // number of a connection
 	fieldUpstreamPaused    = "upstream_paused"
 	fieldUsed              = "used" // memory for buffers in use, in bytes
--- a/internal/gateway/logging.go
+++ b/internal/gateway/logging.go
@@ -5,6 +5,7 @@
 
 	"thymebend/internal/downstream"
 	"thymebend/internal/invariant"
+	"thymebend/internal/loop"
 	"thymebend/internal/upstream"
 )
 
@@ -136,6 +137,13 @@
 		Msg("request not complete in time")
 }
 
+// logBlocked logs that the client of a streamed body may be kept from sending, or no longer is, with what its kernel queue says.
+func (c *core) logBlocked(conn *downstream.Conn, queues loop.QueueSizes) {
+	c.log.Debug().Uint64(fieldDownstreamConn, uint64(conn.ID)).Bool(fieldBlocked, conn.MayBeBlocked()).
+		Int(fieldUnread, queues.Unread).Int(fieldReceiveMemory, queues.ReceiveMemory).Int(fieldReceiveLimit, queues.ReceiveLimit).
+		Msg("whether a client may be kept from sending the rest of its body")
+}
+
 // logRelayCut logs why a large response could not be passed to the client completely.
 func (c *core) logRelayCut(r *relay, detail string, err error) {
 	c.log.Debug().Str(fieldID, r.id).Str(fieldDetail, detail).AnErr(fieldCause, err).
--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -48,8 +48,10 @@
 }
 
 // readable reads more of a body only while all received data have been written out, so that the client sends at
-// the endpoint's pace.
+// the endpoint's pace. Before that it looks at the receive buffer: if it is full, the client may have written more than has
+// arrived.
 func (u *uploads) readable(conn *downstream.Conn) {
+	u.emit(loop.Effect{Op: loop.ReportQueues, Conn: conn.ID})
 	if req := u.requests.byID[conn.RequestID]; !conn.ReadingPaused && (req.upload.attempt == nil || req.upload.writing) {
 		u.downstream.pauseReading(conn)
 		return
@@ -57,6 +59,15 @@
 	u.downstream.read(conn)
 }
 
+// observeUnread records what waits in the receive buffer of a connection with a streamed body.
+func (u *uploads) observeUnread(conn *downstream.Conn, queues loop.QueueSizes) {
+	before := conn.MayBeBlocked()
+	conn.ObserveUnread(u.now, queues.Unread, queues.ReceiveFull)
+	if conn.MayBeBlocked() != before {
+		u.logBlocked(conn, queues)
+	}
+}
+
 // pump writes the part of a body received so far to the endpoint, unless a write is in progress.
 func (u *uploads) pump(req *request) {
 	up, conn := req.upload, u.downstream.conns.ByConn[req.client]
--- a/internal/loop/calls.go
+++ b/internal/loop/calls.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"time"
+	"unsafe"
 
 	"golang.org/x/sys/unix"
 )
@@ -19,8 +20,8 @@
 	send        func(fd int, data []byte) (int, error)
 	peek        func(fd int, buf []byte) error
 	unread      func(fd int) (int, error) // bytes in the receive queue
-	// receiveBuffer returns the size of the receive buffer, with the kernel's own use of it.
-	receiveBuffer func(fd int) (int, error)
+	// receiveMemory returns the memory that the received bytes of a socket use, and how much they may use.
+	receiveMemory func(fd int) (used, limit int, err error)
 	// lastReceivedAgo returns the time since the last bytes arrived at a socket.
 	lastReceivedAgo func(fd int) (time.Duration, error)
 	undelivered     func(fd int) (int, error) // bytes in the send queue, sent or not, that the peer has not acknowledged
@@ -48,10 +49,8 @@
 			_, _, err := unix.Recvfrom(fd, buf, unix.MSG_PEEK|unix.MSG_DONTWAIT)
 			return err
 		},
-		unread: func(fd int) (int, error) { return unix.IoctlGetInt(fd, unix.SIOCINQ) },
-		receiveBuffer: func(fd int) (int, error) {
-			return unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF)
-		},
+		unread:        func(fd int) (int, error) { return unix.IoctlGetInt(fd, unix.SIOCINQ) },
+		receiveMemory: socketReceiveMemory,
 		lastReceivedAgo: func(fd int) (time.Duration, error) {
 			info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 			if err != nil {
@@ -65,6 +64,26 @@
 	}
 }
 
+// The values that SO_MEMINFO returns, by index; see sock_diag(7).
+const (
+	memInfoReceiveAllocated = 0
+	memInfoReceiveBuffer    = 1
+	memInfoValues           = 9
+)
+
+// socketReceiveMemory asks the kernel for the memory of a socket's receive queue. The kernel charges a segment whole until
+// its last byte is read, with its own use of it.
+func socketReceiveMemory(fd int) (used, limit int, err error) {
+	var values [memInfoValues]uint32
+	size := uint32(unsafe.Sizeof(values))
+	_, _, errno := unix.Syscall6(unix.SYS_GETSOCKOPT, uintptr(fd), unix.SOL_SOCKET, unix.SO_MEMINFO,
+		uintptr(unsafe.Pointer(&values)), uintptr(unsafe.Pointer(&size)), 0)
+	if errno != 0 {
+		return 0, 0, errno
+	}
+	return int(values[memInfoReceiveAllocated]), int(values[memInfoReceiveBuffer]), nil
+}
+
 // maxInterrupts is how often retryInterrupted makes a call before it returns EINTR.
 const maxInterrupts = 16
 
--- a/internal/loop/sockets.go
+++ b/internal/loop/sockets.go
@@ -273,8 +273,8 @@
 	return errors.Is(err, unix.EAGAIN)
 }
 
-// receiveFullDivisor is the inverse of the fraction of a receive buffer that may suffice to keep the peer from sending: the
-// kernel announces at most half of the buffer, and small segments take more of it than their bytes.
+// receiveFullDivisor is the inverse of the fraction of a receive buffer's memory whose use may suffice to keep the peer from
+// sending: the kernel announces at most half of the buffer, and a sender waits for room for a whole segment.
 const receiveFullDivisor = 3
 
 // reportQueues queues the sizes of a connection's queues. What a socket does not tell is reported as unknown.
@@ -282,8 +282,8 @@
 	sizes := QueueSizes{Unread: -1, Undelivered: -1, LastReceivedAgo: -1}
 	if n, err := l.syscalls.unread(s.fd); err == nil {
 		sizes.Unread = n
-		buffer, err := l.syscalls.receiveBuffer(s.fd)
-		sizes.ReceiveFull = err == nil && n >= buffer/receiveFullDivisor
+		sizes.ReceiveMemory, sizes.ReceiveLimit, err = l.syscalls.receiveMemory(s.fd)
+		sizes.ReceiveFull = err == nil && sizes.ReceiveMemory >= sizes.ReceiveLimit/receiveFullDivisor
 	}
 	if ago, err := l.syscalls.lastReceivedAgo(s.fd); err == nil {
 		sizes.LastReceivedAgo = ago
--- a/internal/loop/types.go
+++ b/internal/loop/types.go
@@ -88,6 +88,10 @@
 	// ReceiveFull reports that the receive buffer may be so full that the kernel keeps the peer from sending: the peer may
 	// have written more.
 	ReceiveFull bool
+	// ReceiveMemory is the memory that the kernel charges the receive buffer for, and ReceiveLimit how much it may use. They
+	// are 0 if they are unknown. A segment is charged whole, with the kernel's own use of it, until its last byte is read: a
+	// few unread bytes can fill the buffer.
+	ReceiveMemory, ReceiveLimit int
 	// LastReceivedAgo is the time since the last bytes arrived, read or not. It is negative if it is unknown.
 	LastReceivedAgo time.Duration
 	// Undelivered is the number of written bytes that the peer's machine has not yet acknowledged. It decreases while the
