Uploads: a short read that leaves bytes behind does not empty the buffer

Change: a short read empties the buffer only if the last look found no more bytes. Before the first look nothing is taken for empty.

--- a/internal/downstream/bodyclock.go
+++ b/internal/downstream/bodyclock.go
@@ -37,9 +37,9 @@
 }
 
 // begin starts the estimate for a body whose first part was received. The client wrote that part's last byte no earlier than
-// sentAt. drained reports that the receive buffer was empty at the time at.
-func (b *bodyClock) begin(sentAt time.Duration, drained bool, at time.Duration) {
-	*b = bodyClock{notBefore: sentAt, canSend: drained, canSendSince: at, checkedAt: at, readSinceLook: true}
+// sentAt.
+func (b *bodyClock) begin(sentAt time.Duration) {
+	*b = bodyClock{notBefore: sentAt, readSinceLook: true}
 }
 
 // wasAbleToSend reports whether all that the client had written before the given time has arrived by then.
@@ -47,14 +47,15 @@
 	return b.canSend && at-b.canSendSince >= sendDelay
 }
 
-// read records that n bytes were read, after which the receive buffer is empty if drained.
-func (b *bodyClock) read(now time.Duration, n int, drained bool, body *http1.Reader) {
+// read records that n bytes were read, in a read that was short if it could have returned more. A short read has emptied the
+// receive buffer, unless the last look found more bytes: a system call may return less than is available.
+func (b *bodyClock) read(now time.Duration, n int, short bool, body *http1.Reader) {
 	b.readSinceLook = true
 	b.unread = max(0, b.unread-n)
-	if !drained {
+	if !short || b.unread > 0 {
 		return
 	}
-	b.unread, b.checkedAt, b.blocked = 0, now, false
+	b.checkedAt, b.blocked = now, false
 	b.bufferEmpty(now)
 	if b.wasAbleToSend(now) && !body.Complete() {
 		b.notBefore = now
--- a/internal/downstream/bodyclock_test.go
+++ b/internal/downstream/bodyclock_test.go
@@ -66,14 +66,18 @@
 			{100, 0, 120 << 10, true}, {200, whole, 0, false}, {201, 0, 56 << 10, true}, {500, 0, 56 << 10, true},
 		}, 10},
 		{"emptied, and filled at once", []receiveBuffer{
-			{100, 0, 120 << 10, true}, {200, whole, 0, false}, {201, 1000, 0, false}, {202, 0, 120 << 10, true}, {500, 0, 120 << 10, true},
+			{100, 0, 65 << 10, true}, {200, whole, 0, false}, {201, 0, 1 << 10, false}, {201, 1 << 10, 0, false},
+			{202, 0, 120 << 10, true}, {500, 0, 120 << 10, true},
 		}, 10},
 		{"half emptied, with no room for a segment", []receiveBuffer{
 			{100, 0, 120 << 10, true}, {200, whole, 0, false}, {300, 0, 30 << 10, false}, {400, 0, 30 << 10, false},
 		}, 10},
 		{"emptied, and silent", []receiveBuffer{
-			{100, 0, 120 << 10, true}, {200, whole, 0, false}, {201, 1000, 0, false}, {300, 0, 0, false},
+			{100, 0, 65 << 10, true}, {200, whole, 0, false}, {201, 0, 1 << 10, false}, {201, 1 << 10, 0, false}, {300, 0, 0, false},
 		}, 300},
+		{"a short read that leaves bytes", []receiveBuffer{
+			{100, 0, 0, false}, {200, 0, 12_000, false}, {300, 9_000, 0, false},
+		}, 200},
 		{"slow", []receiveBuffer{
 			{100, 1000, 0, false}, {200, 0, 1000, false}, {200, 1000, 0, false}, {300, 0, 1000, false}, {300, 1000, 0, false},
 		}, 300},
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -107,17 +107,15 @@
 	bodyClock bodyClock // of the body that is being streamed
 	reader    http1.Reader
 	large     *Incoming // the request being received whose body is too large to buffer
-	drained   bool      // the last read emptied the receive buffer
 }
 
 // Feed adds bytes received from the client now. They are copied.
 func (c *Conn) Feed(now time.Duration, data []byte) {
 	c.lastReceived = now
-	c.drained = len(data) < c.readLimit
 	c.arrivals.add(now, len(data), c.readLimit)
 	c.reader.Feed(data)
 	if c.Upload {
-		c.bodyClock.read(now, len(data), c.drained, &c.reader)
+		c.bodyClock.read(now, len(data), len(data) < c.readLimit, &c.reader)
 	}
 }
 
@@ -125,7 +123,7 @@
 // its data as it arrives. length is the length of the body in bytes, or -1 if the client does not state it.
 func (c *Conn) BeginStream() (length int64) {
 	c.Upload = true
-	c.bodyClock.begin(c.LastByteSent(), c.drained, c.lastReceived)
+	c.bodyClock.begin(c.LastByteSent())
 	return c.reader.BeginStream()
 }
 
