Responses: look again at an incomplete answer of unknown length

Cause: such an answer was looked at once, 1 s after its begin; with less than 8 KiB the timer was set to the end of the attempt and nothing looked again. A pause beyond the client's time left 2 KiB to be cut off.

Evidence: the attempts ended "timed out" at 1.800 to 1.807 s with no ejection logged, and the host had written 45,056 bytes.

Change: from 1 s after its begin an answer is passed on as soon as 8 KiB have come; from 0.1 s before the end of its attempt, and at the ejection of its host, 1 KiB suffices. A chunk that goes beyond what is buffered tells that the answer is long; one beyond 32 MiB is refused at its begin.

Answers that never end still get 502 (TestResponsesWithoutALength).

--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -68,7 +68,7 @@
 		if att.number != attempt {
 			continue
 		}
-		if !a.attempts.passOnIncomplete(att) { // an endpoint that is writing its answer does not hang
+		if !a.attempts.passOnIncomplete(att, minPassOnAtEnd) { // an endpoint that is writing its answer does not hang
 			a.attempts.end(att, ReasonCancelled, nil)
 		}
 		return
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -44,7 +44,7 @@
 	conn      *upstream.Conn
 	startedAt time.Duration // start of the attempt; with an upload, when the last byte of the body was written
 	deadline  time.Duration // when the attempt ends if it is not complete
-	passOnAt  time.Duration // when its incomplete response is passed on, 0 if it is not
+	passOnAt  time.Duration // from when its incomplete response of unknown length may be passed on; 0 before its begin
 	// invariantIndex is the attempt's index in the request's invariant record, notWritten before its first byte
 	// is written.
 	invariantIndex int
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -106,43 +106,68 @@
 			a.end(att, ReasonPrematureResponse, nil)
 		} else if head != nil {
 			a.relays.begin(att, head)
-		} else if att.passOnAt == 0 && conn.Phase == upstream.Awaiting && conn.LengthUnknown() {
-			a.passOnLater(att)
+		} else if conn.Phase == upstream.Awaiting && conn.LengthUnknown() {
+			a.incompleteGrown(att)
 		}
 	}
 }
 
-// An incomplete response of unknown length is passed on this long after its begin, and passOnMargin before the end of its
-// attempt at the latest, if minPassOn bytes of its body have come: it may be a long one, of which only the first bytes must
-// arrive within the client's timeout. One of which less has come may be one that never ends.
+// incompleteGrown handles more bytes of an incomplete response of unknown length.
+func (a *attemptTable) incompleteGrown(att *attempt) {
+	switch {
+	case att.passOnAt == 0:
+		a.passOnLater(att)
+	case a.now >= att.passOnAt:
+		a.passOnIncomplete(att, a.enoughToPassOn(att))
+	}
+}
+
+// An incomplete response of unknown length may be a long one, of which only the first bytes must arrive within the client's
+// timeout. It is passed on as soon as it has lasted for passOnAfter and minPassOn bytes of its body have come, however late
+// that is. passOnMargin before the end of its attempt fewer bytes suffice. One of which less has come may be one that never
+// ends.
 const (
-	passOnAfter  = time.Second
-	passOnMargin = 100 * time.Millisecond
-	minPassOn    = http1.MaxBufferedBody / 8 // bytes
+	passOnAfter    = time.Second
+	passOnMargin   = 100 * time.Millisecond
+	minPassOn      = http1.MaxBufferedBody / 8 // bytes
+	minPassOnAtEnd = 1 << 10                   // bytes
 )
 
-// passOnLater sets the time at which the response of an attempt is passed on if it is still incomplete.
+// passOnLater sets the time from which the response of an attempt is passed on if it is still incomplete.
 func (a *attemptTable) passOnLater(att *attempt) {
 	att.passOnAt = max(a.now, min(a.now+passOnAfter, att.deadline-passOnMargin))
 	a.setTimer(timerAttempt, att.id, att.passOnAt)
 }
 
-// passOn begins to pass on a response that is still incomplete. A response that does not serve the request must be
-// complete by the end of the attempt.
+// passOn begins to pass on a response that is still incomplete, or sets the time of the next look. A response that does not
+// serve the request must be complete by the end of the attempt.
 func (a *attemptTable) passOn(att *attempt) {
-	if !a.passOnIncomplete(att) {
+	lastLook := att.deadline - passOnMargin
+	switch {
+	case a.passOnIncomplete(att, a.enoughToPassOn(att)):
+	case a.now < lastLook:
+		a.setTimer(timerAttempt, att.id, lastLook)
+	default:
 		a.setTimer(timerAttempt, att.id, att.deadline)
 	}
 }
 
-// passOnIncomplete begins to pass on the response of an attempt if it is incomplete, of unknown length, and serves the
-// request. It returns false otherwise.
-func (a *attemptTable) passOnIncomplete(att *attempt) bool {
+// enoughToPassOn returns the size of the part of an incomplete response that suffices to pass it on now, in bytes.
+func (a *attemptTable) enoughToPassOn(att *attempt) int {
+	if a.now < att.deadline-passOnMargin {
+		return minPassOn
+	}
+	return minPassOnAtEnd
+}
+
+// passOnIncomplete begins to pass on the response of an attempt if it is incomplete, of unknown length, serves the request
+// and at least enough bytes of its body have come. It returns false otherwise.
+func (a *attemptTable) passOnIncomplete(att *attempt, enough int) bool {
 	if att.conn == nil || att.conn.Phase != upstream.Awaiting || !att.conn.LengthUnknown() {
 		return false
 	}
 	head := att.conn.Partial()
-	if head.Status != statusOK || att.conn.Decoded() < minPassOn {
+	if head.Status != statusOK || att.conn.Decoded() < enough {
 		return false
 	}
 	a.relays.begin(att, head)
--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -75,15 +75,18 @@
 }
 
 // Large returns the head of the current message if its body is too large to buffer, or nil. If the length of the body
-// is not stated, Large returns the head only after more bytes than may be buffered have been decoded.
+// is not stated, that shows only once more than may be buffered was decoded or the current chunk goes beyond it.
 func (r *Reader) Large() *Head {
-	if r.head == nil || r.body.framing == byLength && r.body.remaining+r.decodedBytes <= MaxBufferedBody ||
-		r.body.framing != byLength && r.decodedBytes <= MaxBufferedBody {
+	if r.head == nil || r.announced() <= MaxBufferedBody {
 		return nil
 	}
 	return r.head
 }
 
+// announced returns the least size of the current message's body by what was received: of what is decoded and, if the body
+// or its current chunk states a length, of the rest of that.
+func (r *Reader) announced() int64 { return r.decodedBytes + r.body.remaining }
+
 // Complete reports whether the current message has been received completely, even if the caller has not
 // yet read all of its body. It also returns true if the body is malformed.
 func (r *Reader) Complete() bool {
@@ -212,7 +215,7 @@
 		}
 		r.growPayload(len(piece), streamed)
 		r.payload = append(r.payload, piece...)
-		if r.decodedBytes += int64(len(piece)); !r.Stream && r.decodedBytes > MaxBody {
+		if r.decodedBytes += int64(len(piece)); !r.Stream && r.announced() > MaxBody {
 			return &Fault{413, "body too large"}
 		}
 		if consumed += n; n == 0 {
