Attempts: verify a client whose close may be hidden behind unread bytes

Cause: such a connection is read no further, and with a full receive buffer the close stays in the client's kernel. The waiting request was forwarded without a look.

Change: before an attempt is written for a client whose connection is not read, the kernel is asked whether its receive buffer is full (SO_MEMINFO). If so, the client gets the next byte of the status line, which begins alike in every response, and the attempt waits 20 ms for the reset that a closed connection answers with. The loop reports that reset at once.

Test changed: TestClientTimeoutCountsWhileLargeRequestWaits says what waits unread, since the receive buffer is now looked at when the attempt begins.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -80,6 +80,11 @@
 	RequestStart time.Duration
 	// TimerAt is when the gateway next checks the connection's timeouts; 0 if no timer is set.
 	TimerAt time.Duration
+	// VerifiedAt is when something was last written to the client to see whether its machine answers with a reset, because
+	// the end of its sending may be hidden behind unread bytes; 0 before.
+	VerifiedAt time.Duration
+	// StatusLineSent is how many bytes of the status line of the next response are already written; see StatusLineByte.
+	StatusLineSent int
 	// Postponed reports that the connection continues with its next request only at the end of the turn.
 	Postponed bool
 	// OwnAnswers counts the gateway's own answers on the connection in a turn of the loop.
--- a/internal/downstream/responses.go
+++ b/internal/downstream/responses.go
@@ -7,6 +7,26 @@
 	"thymebend/internal/http1"
 )
 
+// statusLineBegin is the begin of every response that the gateway writes.
+const statusLineBegin = "HTTP/1.1 "
+
+// StatusLineByte returns the next byte of the status line of a response whose status is not known yet, and false once all
+// bytes that do not depend on the status are written.
+func (c *Conn) StatusLineByte() ([]byte, bool) {
+	if c.StatusLineSent == len(statusLineBegin) {
+		return nil, false
+	}
+	c.StatusLineSent++
+	return []byte(statusLineBegin[c.StatusLineSent-1 : c.StatusLineSent]), true
+}
+
+// UnsentPart returns the part of the begin of a response that is not yet written.
+func (c *Conn) UnsentPart(response []byte) []byte {
+	sent := c.StatusLineSent
+	c.StatusLineSent = 0
+	return response[sent:]
+}
+
 // ContinueResponse encodes the interim response 100 Continue, after which the client sends the body.
 func ContinueResponse() []byte { return []byte("HTTP/1.1 100 Continue\r\n\r\n") }
 
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -37,14 +37,15 @@
 
 // attempt is one attempt in progress.
 type attempt struct {
-	request   *request
-	number    int
-	id        uint64
-	endpoint  balancer.EndpointID
-	conn      *upstream.Conn
-	startedAt time.Duration // start of the attempt; with an upload, when the last byte of the body was written
-	deadline  time.Duration // when the attempt ends if it is not complete
-	passOnAt  time.Duration // from when its incomplete response of unknown length may be passed on; 0 before its begin
+	request    *request
+	number     int
+	id         uint64
+	endpoint   balancer.EndpointID
+	conn       *upstream.Conn
+	startedAt  time.Duration // start of the attempt; with an upload, when the last byte of the body was written
+	deadline   time.Duration // when the attempt ends if it is not complete
+	passOnAt   time.Duration // from when its incomplete response of unknown length may be passed on; 0 before its begin
+	awaitsLook bool          // it waits for the state of its client's receive buffer
 	// invariantIndex is the attempt's index in the request's invariant record, notWritten before its first byte
 	// is written.
 	invariantIndex int
@@ -172,7 +173,8 @@
 	a.setTimer(timerUpstream, uint64(spare.ID), a.now+a.cfg.Settings.Gateway.ConnectTimeout)
 }
 
-// quietTimeOver writes the attempt that has waited for a connection. Its wait says nothing about its endpoint.
+// quietTimeOver writes the attempt that has waited for a connection, or for its client to be verified. Its wait says nothing
+// about its endpoint.
 func (a *attemptTable) quietTimeOver(conn *upstream.Conn) {
 	att := a.byConn[conn.ID]
 	att.startedAt = a.now
@@ -201,6 +203,9 @@
 
 // writeRequest writes the request to the endpoint, unless the attempt must not be written any more.
 func (a *attemptTable) writeRequest(att *attempt, op loop.Op) {
+	if a.verifyClient(att) {
+		return
+	}
 	if end, suppress := a.suppressed(att); suppress {
 		a.end(att, end, nil)
 		return
--- a/internal/gateway/deadlines_test.go
+++ b/internal/gateway/deadlines_test.go
@@ -123,7 +123,13 @@
 	r := newRig(t, "subscribe", listLine(1, true))
 	r.sendRequest(100_000, 70_000)
 	c := r.lastClient
-	r.step(loop.Event{Kind: loop.Readable, Conn: c}) // more of the body is available, and must not be read yet
+	r.queues = func(conn loop.Conn) loop.QueueSizes {
+		if conn == c {
+			return loop.QueueSizes{Unread: 30_000}
+		}
+		return loop.QueueSizes{}
+	}
+	r.step(loop.Event{Kind: loop.Readable, Conn: c}) // the rest of the body is available, and must not be read yet
 	w := r.connectWatch()
 	r.advance(600 * time.Millisecond)
 	r.sendLine(w, listLine(2, false, listEntry(1, "up", 0)))
--- a/internal/gateway/downstream.go
+++ b/internal/gateway/downstream.go
@@ -81,6 +81,7 @@
 			conn.ObserveWait(d.now, d.now-e.Queues.LastReceivedAgo, e.Queues.Unread)
 		}
 		d.uploads.observeUnread(conn, e.Queues)
+		d.attempts.clientObserved(conn, e.Queues)
 		d.writeChecked(conn, e.Queues.Undelivered)
 	}
 	if d.conns.ByConn[conn.ID] == conn {
--- a/internal/gateway/downstream_request.go
+++ b/internal/gateway/downstream_request.go
@@ -158,12 +158,24 @@
 	d.settleClient(conn)
 }
 
-// writeClient writes to a client.
+// writeClient writes the begin of a response, or a later part of it, to a client.
 func (d *downstreamConns) writeClient(conn *downstream.Conn, data []byte) {
+	data = conn.UnsentPart(data)
 	conn.Unwritten += len(data)
 	d.write(conn.ID, data)
 }
 
+// writeStatusLineByte writes one byte of the status line of the response to the request in progress. It returns false once
+// all bytes that do not depend on the status are written.
+func (d *downstreamConns) writeStatusLineByte(conn *downstream.Conn) bool {
+	next, left := conn.StatusLineByte()
+	if left {
+		conn.Unwritten += len(next)
+		d.write(conn.ID, next)
+	}
+	return left
+}
+
 // answer writes the final answer of a request.
 func (d *downstreamConns) answer(req *request, conn *downstream.Conn, data []byte) {
 	req.client = 0
--- a/internal/gateway/downstream_timeouts.go
+++ b/internal/gateway/downstream_timeouts.go
@@ -95,7 +95,7 @@
 		return
 	}
 	if !d.invariants.AllowClose(&req.invariants) {
-		d.write(conn.ID, downstream.FailedResponse(false))
+		d.writeClient(conn, downstream.FailedResponse(false))
 	}
 }
 
--- a/internal/gateway/downstream_turns.go
+++ b/internal/gateway/downstream_turns.go
@@ -21,6 +21,7 @@
 	d.postponed = nil
 	for _, id := range postponed {
 		if conn := d.conns.ByConn[id]; conn != nil {
+			conn.VerifiedAt = d.now // the answer was written in an earlier turn
 			d.flushed(conn)
 			if d.conns.ByConn[id] == conn {
 				d.settled(conn)
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -286,6 +286,9 @@
 		return
 	}
 	s.peerShutdown = s.peerShutdown || events&unix.EPOLLRDHUP != 0
+	if s.readingPaused && s.reportShutdown && events&unix.EPOLLERR != 0 && l.breakIfReset(s) {
+		return
+	}
 	if s.readingPaused && s.reportShutdown && events&unix.EPOLLRDHUP != 0 && events&(unix.EPOLLHUP|unix.EPOLLERR) == 0 {
 		s.reportShutdown = false
 		l.updateEvents(s)
@@ -295,6 +298,17 @@
 	}
 }
 
+// breakIfReset closes a socket whose connection has broken, and returns true, without reading what is left in its receive
+// buffer.
+func (l *Loop) breakIfReset(s *socket) bool {
+	code, err := l.syscalls.socketError(s.fd)
+	if err != nil || code == 0 {
+		return false
+	}
+	l.breakSocket(s, unix.Errno(code))
+	return true
+}
+
 // perform performs an effect and queues its results as events.
 func (l *Loop) perform(f Effect) {
 	switch f.Op {
