--- a/internal/lab/mutationtest/main.go
+++ b/internal/lab/mutationtest/main.go
@@ -28,6 +28,7 @@
 	slowPeersProfile      = "slow-peers"      // clients and hosts that read or write slowly, leave or flood
 	hoardersProfile       = "hoarders"        // clients for which much must be kept, and ids that come again
 	slowHostsProfile      = "slow-hosts"      // hosts that write long answers slowly
+	blockedPeersProfile   = "blocked-peers"   // bytes and closes that wait in clients' kernels, answers with a pause
 	rolloutsProfile       = "rollouts"        // simulates the configuration distribution instead of whole gateways
 )
 
--- a/internal/lab/simulation/answers.go
+++ b/internal/lab/simulation/answers.go
@@ -121,6 +121,10 @@
 func (c *client) handleInbox() {
 	if len(c.inbox) > 0 {
 		if status, body, keep, extra, whole := parseResponse(c.inbox, c.end.fin); whole {
+			if c.req.Behaviour == farAhead { // what it sent behind its request is answered with an error
+				c.finish("left")
+				return
+			}
 			if extra { // an unsolicited response
 				c.run.clients.Update(c.id, func(t *requestrecord.Attempt) { t.Answers++ })
 			}
--- a/internal/lab/simulation/clients.go
+++ b/internal/lab/simulation/clients.go
@@ -186,6 +186,9 @@
 	case gone:
 		c.sendAndLeave(text)
 		return
+	case farAhead:
+		c.sendFarAhead(text)
+		return
 	case hoard:
 		c.sendPart(text[:len(text)-1], 1)
 		return
--- a/internal/lab/simulation/draw.go
+++ b/internal/lab/simulation/draw.go
@@ -240,6 +240,8 @@
 		d.drawHoarder(&r)
 	case slowHostsProfile:
 		d.drawSlowAnswer(&r)
+	case blockedPeersProfile:
+		d.drawBlockedPeer(&r)
 	}
 	return r
 }
--- a/internal/lab/simulation/effects.go
+++ b/internal/lab/simulation/effects.go
@@ -67,8 +67,9 @@
 		}
 		l.write(s, f.Data)
 	case loop.ReportQueues:
+		unread, full := s.end.unread()
 		l.queueEvent(loop.Event{Kind: loop.Queues, Conn: s.conn, Queues: loop.QueueSizes{
-			Unread: len(s.end.inbox), ReceiveFull: s.end.peer != nil && s.end.peer.space <= 0,
+			Unread: unread, ReceiveFull: full,
 			LastReceivedAgo: l.sim.Now() - s.end.lastArrivalAt,
 			Undelivered:     len(s.pending) + s.end.unacknowledged(),
 		}})
--- a/internal/lab/simulation/net.go
+++ b/internal/lab/simulation/net.go
@@ -21,6 +21,8 @@
 	// receive is the number of unread bytes behind which the reader does not see the end of the peer's sending, because
 	// they keep the end in the peer's kernel; 0: it always sees the end.
 	receive int
+	// windowed makes the reader see, read and be told of no more unread bytes than receive.
+	windowed bool
 }
 
 // kernelBuffers are buffers like those of Linux: the kernel reports a full send buffer as writable again only once a third
@@ -148,6 +150,7 @@
 	writeClosed   bool          // this end has shut down its sending side
 	endedAt       time.Duration // time of the shutdown or reset by this end; 0 before
 	buffers       buffers
+	window        int // with windowed buffers: the unread bytes that are in the receive buffer
 	space         int // number of bytes that the connection still accepts from this end
 	lastDelivery  time.Duration
 	silent        *bool        // this end's machine neither sends nor receives while it is set
@@ -326,6 +329,11 @@
 // Read removes at most limit bytes from the inbox, and makes room for as many at the peer.
 func (e *End) Read(limit int) []byte {
 	n := min(limit, len(e.inbox))
+	if e.buffers.windowed {
+		e.refill()
+		n = min(n, e.window)
+		e.window -= n
+	}
 	data := e.inbox[:n:n]
 	e.inbox = e.inbox[n:]
 	if p := e.peer; n > 0 {
--- a/internal/lab/simulation/profiles.go
+++ b/internal/lab/simulation/profiles.go
@@ -48,7 +48,9 @@
 		hoardersProfile: {"rude-hoard", "rude-again", "bulk", "host-hang", "host-errors", "net-split", "net-jitter", "surge",
 			"gateway-upgrade"},
 		slowHostsProfile: {"bulk", "host-drip", "host-drip", "host-drip", "net-split", "net-jitter", "surge"},
-		"reload":         {"gateway-reload", "host-drain", "host-replace", "discovery-down", "gateway-term"},
+		blockedPeersProfile: {"rude-far-ahead", "host-deaf", "host-drip", "host-drip", "host-hang", "net-jitter", "surge",
+			"gateway-term", "gateway-upgrade"},
+		"reload": {"gateway-reload", "host-drain", "host-replace", "discovery-down", "gateway-term"},
 		"everything": slices.Concat(hosts, spoils, gateways, disc, rude, net, []string{"surge", "host-cold",
 			"gateway-reload"}),
 	}
@@ -86,7 +88,8 @@
 func drawnByDefault(profile string) bool {
 	return profile != fleetProfile && profile != discoveryLoadProfile && profile != stoppedProfile &&
 		profile != clockProfile && profile != lateProfile && profile != slowPeersProfile &&
-		profile != hoardersProfile && profile != slowHostsProfile
+		profile != hoardersProfile && profile != slowHostsProfile &&
+		profile != blockedPeersProfile
 }
 
 // Profiles returns the names of the profiles in order.
--- a/internal/lab/simulation/slowhosts.go
+++ b/internal/lab/simulation/slowhosts.go
@@ -26,7 +26,8 @@
 // writeSlowly writes an answer at slowRate. The client may wait for its end for as long as that takes.
 func (h *host) writeSlowly(c *hostConn, id string, answer []byte) {
 	s := h.run
-	if _, begun := s.slowAnswers[id]; !begun {
+	_, begun := s.slowAnswers[id]
+	if !begun {
 		s.slowAnswers[id] = s.sim.Now()
 	}
 	n, err := c.end.Write(answer[:min(slowPiece, len(answer))])
@@ -37,7 +38,11 @@
 		s.sim.After(0, func() { h.onReadable(c) })
 		return
 	}
-	s.sim.After(slowInterval, func() {
+	pause := slowInterval
+	if !begun {
+		pause = h.pauseAfter(n)
+	}
+	s.sim.After(pause, func() {
 		if h.up {
 			h.writeSlowly(c, id, answer[n:])
 		}
@@ -58,7 +63,7 @@
 // long one in time and went on.
 func (c *client) checkSlowAnswer(status int) {
 	begunAt, slow := c.run.slowAnswers[c.id]
-	if !slow || status == 200 || c.run.plan.Profile != slowHostsProfile {
+	if profile := c.run.plan.Profile; !slow || status == 200 || profile != slowHostsProfile && profile != blockedPeersProfile {
 		return
 	}
 	if left := c.sentAt + msec(c.req.TimeoutMS) - begunAt; left > slowAnswerMargin {
--- a/internal/lab/simulation/slowpeers.go
+++ b/internal/lab/simulation/slowpeers.go
@@ -58,6 +58,9 @@
 
 // clientBuffers returns the buffers of the clients' connections.
 func (s *simulator) clientBuffers() buffers {
+	if s.plan.Profile == blockedPeersProfile {
+		return blockedBuffers()
+	}
 	if s.plan.KernelBuffers {
 		return kernelBuffers()
 	}
