Known failures: attempts for uploads whose client's close is hidden

The mend for requests sent ahead does not serve here: a client may take the early byte for a response before it has sent its body.

--- a/cmd/thymebend/hidden_close_test.go
+++ b/cmd/thymebend/hidden_close_test.go
@@ -65,6 +65,9 @@
 	var text strings.Builder
 	id := func(i int) string { return fmt.Sprint(strings.ReplaceAll(kind, " ", "-"), "-", i) }
 	switch kind {
+	case "long body":
+		text.WriteString(strings.Replace(largeLodgeRequest(id(0), "size=2", farAheadSize), "2500m", "25000m", 1))
+		text.WriteString(strings.Repeat("b", farAheadSize))
 	case "bids of 60 KiB":
 		for i := 0; text.Len() < farAheadSize; i++ {
 			text.WriteString(strings.Replace(lodgeRequest(id(i), strings.Repeat("b", 60<<10)), "2500m", "25000m", 1))
@@ -108,6 +111,19 @@
 	}
 }
 
+// Guards against an attempt, of which only the begin is written, for a client that closed its connection behind a long body
+// while its request waited in the queue.
+func TestNoAttemptForUploadsWithHiddenClose(t *testing.T) {
+	endpoint, received := recordingEndpoint(t)
+	g, addEndpoint := startWithoutEndpoints(t, endpoint)
+	sendFarAheadAndLeave(t, g.dial(), farAhead("long body"))
+	time.Sleep(leftBeforeStart)
+	addEndpoint(1)
+	if id := nextID(received, laterRequestsGrace); id != "" {
+		t.Errorf("the endpoint got the begin of %q of a client that had left %v before", id, leftBeforeStart)
+	}
+}
+
 // sendFarAheadAndLeave writes text for a while, and closes the connection.
 func sendFarAheadAndLeave(t *testing.T, c net.Conn, text string) {
 	_ = c.SetWriteDeadline(time.Now().Add(farAheadSends))
